--- /dev/null
+++ b/Source/Core/Audit/AuditDuty.cpp
@@ -0,0 +1,105 @@
+#include "Audit/AuditDuty.h"
+
+#include "Common/Failure.h"
+#include "Common/Log.h"
+#include "Common/Metrics.h"
+#include "Common/Text.h"
+#include "Configuration/ConfigurationDuty.h"
+
+namespace Audit {
+
+namespace {
+
+    constexpr size_t ringCapacity = 16384;
+    constexpr int statusOk = 200;
+
+    void countEvent(const event_noted& message)
+    {
+        Common::countMetric("filbertreel_events_total{event=\"" + message.event + "\"}");
+        if (message.event == "first_token")
+            Common::observeMetric("filbertreel_first_token_seconds", message.fields.value("seconds", 0.0));
+    }
+
+} // namespace
+
+audit_duty::audit_duty(audit_outlets outlets)
+    : m_outlets(std::move(outlets))
+    , m_inbox(ringCapacity)
+{
+    m_inbox.setWaker([this] {
+        const std::lock_guard guard(m_mutex);
+        m_hasWork = true;
+        m_awake.notify_one();
+    });
+}
+
+bool audit_duty::submit(audit_message&& message)
+{
+    return m_inbox.push(message);
+}
+
+void audit_duty::run()
+{
+    std::vector<audit_message> batch;
+    while (true) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_awake.wait(lock, [this] { return m_hasWork || m_isStopping; });
+            m_hasWork = false;
+        }
+        m_inbox.drainInto(batch);
+        for (audit_message& message : batch)
+            std::visit([this](auto& item) { handle(std::move(item)); }, message);
+        const std::lock_guard guard(m_mutex);
+        if (m_isStopping)
+            return;
+    }
+}
+
+void audit_duty::stop()
+{
+    const std::lock_guard guard(m_mutex);
+    m_isStopping = true;
+    m_awake.notify_one();
+}
+
+void audit_duty::handle(event_noted&& message)
+{
+    countEvent(message);
+    nlohmann::json fields = message.fields.is_object() ? message.fields : nlohmann::json::object();
+    fields["request"] = message.request.value;
+    Common::logEvent(Common::log_level::Info, message.event, std::move(fields));
+    keepEvent(m_store, message.request, { message.at, std::move(message.event), std::move(message.fields) });
+}
+
+void audit_duty::handle(explain_query&& message)
+{
+    nlohmann::ordered_json body { { "request", message.request.value } };
+    body["events"] = explainRequest(m_store, message.request);
+    m_outlets.answerOperator(message.operatorToken, statusOk, body.dump());
+}
+
+void audit_duty::handle(trail_query&& message)
+{
+    Platform::table_query query;
+    query.partition = Configuration::chainPartition;
+    query.afterSort = Common::zeroPadded(message.after.value);
+    m_outlets.callTable({ query, [this, token = message.operatorToken](Platform::table_reply&& reply) {
+                             static_cast<void>(submit(trail_read { token, std::move(reply) }));
+                         } });
+}
+
+void audit_duty::handle(trail_read&& message)
+{
+    if (message.reply.outcome != Platform::table_outcome::Done) {
+        const Common::failure unavailable { Common::failure_kind::StoreUnavailable, "audit", Common::run_state::NotRun, 1 };
+        m_outlets.answerOperator(message.operatorToken, httpStatusOf(unavailable.kind), describeAsJson(unavailable));
+        return;
+    }
+    nlohmann::ordered_json body { { "records", nlohmann::ordered_json::array() } };
+    for (const Platform::table_row& row : message.reply.rows)
+        body["records"].push_back(nlohmann::ordered_json::parse(row.body, nullptr, false));
+    m_outlets.answerOperator(message.operatorToken, statusOk, body.dump());
+}
+
+} // namespace Audit
--- /dev/null
+++ b/Source/Core/Common/Ids.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/// @file
+/// Identifiers and units that cross module boundaries.
+
+#include "Common/StrongType.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace Common {
+
+using node_id = strong_type<struct node_id_tag, std::string>;
+using endpoint_id = strong_type<struct endpoint_id_tag, std::string>;
+using account_id = strong_type<struct account_id_tag, std::string>;
+using class_name = strong_type<struct class_name_tag, std::string>;
+using request_id = strong_type<struct request_id_tag, std::string>;
+using zone_name = strong_type<struct zone_name_tag, std::string>;
+using region_name = strong_type<struct region_name_tag, std::string>;
+using version_name = strong_type<struct version_name_tag, std::string>;
+
+/// Number of times a node has been started or has refuted a rumour of its death.
+using incarnation_number = strong_type<struct incarnation_tag, uint64_t>;
+/// Position of a change in the configuration's chain; zero is the empty configuration.
+using config_version = strong_type<struct config_version_tag, uint64_t>;
+/// One caller connection waiting for an answer at this node.
+using caller_token = strong_type<struct caller_token_tag, uint64_t>;
+/// One attempt of a request at an endpoint; unique within a node incarnation.
+using attempt_number = strong_type<struct attempt_number_tag, uint64_t>;
+
+/// Money in millionths of the currency unit that an operator writes prices in.
+using micro_money = strong_type<struct micro_money_tag, int64_t>;
+
+/// Monotonic time. Decisions receive it as an argument and never read a clock.
+using instant = std::chrono::steady_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+/// Wall-clock milliseconds since the epoch, for records that outlive a process.
+using wall_time = strong_type<struct wall_time_tag, int64_t>;
+
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Common/Random.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// @file
+/// Seeded random numbers that give the same sequence on every machine.
+
+#include <cstdint>
+
+#include <pcg_random.hpp>
+
+namespace Common {
+
+using random_source = pcg32;
+
+/// @param source the generator.
+/// @param bound exclusive upper bound, above zero.
+/// @return a uniform integer in [0, bound).
+uint32_t uniformBelow(random_source& source, uint32_t bound);
+
+/// @param source the generator.
+/// @return a uniform number in [0, 1).
+double uniformUnit(random_source& source);
+
+/// @return a seed from the operating system, for processes that need no reproducible run.
+uint64_t systemSeed();
+
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Configuration/ConfigurationDuty.h
@@ -0,0 +1,59 @@
+#pragma once
+
+/// @file
+/// The configuration duty: the thread that runs the version chain's decisions.
+
+#include "Common/Ring.h"
+#include "Configuration/VersionChain.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+
+namespace Configuration {
+
+/// Where the duty's actions go. Each function hands a message to another duty and never blocks.
+struct configuration_outlets {
+    std::function<void(Platform::table_call&&)> callTable;
+    std::function<void(std::shared_ptr<const configuration>)> publish;
+    std::function<void(const std::vector<change>&)> tellPeers;
+    std::function<void(Common::config_version)> pullFromPeers;
+    std::function<void(const answer_peer&)> answerPeer;
+    std::function<void(Common::caller_token, int status, std::string body)> answerOperator;
+};
+
+class configuration_duty {
+public:
+    explicit configuration_duty(configuration_outlets outlets);
+
+    /// Hands a message over; may be called from any thread.
+    /// @return whether the ring took it.
+    bool submit(chain_message&& message);
+    /// Serves until stop().
+    void run();
+    void stop();
+
+private:
+    void perform(const write_change& action);
+    void perform(const read_changes& action);
+    void perform(const publish_configuration& action);
+    void perform(const tell_peers& action);
+    void perform(const pull_from_peers& action);
+    void perform(const answer_peer& action);
+    void perform(const answer_operator& action);
+    void dispatch(chain_message&& message);
+
+    configuration_outlets m_outlets;
+    Common::ring<chain_message> m_inbox;
+    chain_state m_state;
+    std::mutex m_mutex;
+    std::condition_variable m_awake;
+    bool m_hasWork { false };
+    std::atomic<bool> m_isStopping { false };
+};
+
+/// The partition of the table that holds the chain.
+constexpr std::string_view chainPartition = "config";
+
+} // namespace Configuration
--- /dev/null
+++ b/Source/Core/Configuration/Model.cpp
@@ -0,0 +1,257 @@
+#include "Configuration/Model.h"
+
+#include <array>
+#include <limits>
+
+namespace Configuration {
+
+namespace {
+
+    using nlohmann::json;
+    using nlohmann::ordered_json;
+
+    constexpr size_t longestName = 64;
+    constexpr int64_t longestTargetMilliseconds = 3600000;
+
+    /// Reads members of one JSON object and gathers every mistake.
+    struct member_reader {
+        const json& body;
+        std::vector<mistake> mistakes;
+
+        void reject(const std::string& member, const std::string& allowed)
+        {
+            const auto found = body.find(member);
+            mistakes.push_back({ member, found == body.end() ? "missing" : found->dump(), allowed });
+        }
+
+        std::string readName(const std::string& member)
+        {
+            const auto found = body.find(member);
+            const bool isText = found != body.end() && found->is_string();
+            std::string text = isText ? found->get<std::string>() : "";
+            const bool isNamed = !text.empty() && text.size() <= longestName
+                && text.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == std::string::npos;
+            if (!isNamed)
+                reject(member, "1 to 64 of letters, digits, '-', '_' and '.'");
+            return text;
+        }
+
+        std::string readText(const std::string& member)
+        {
+            const auto found = body.find(member);
+            if (found == body.end())
+                return {};
+            if (!found->is_string()) {
+                reject(member, "text");
+                return {};
+            }
+            return found->get<std::string>();
+        }
+
+        int64_t readInteger(const std::string& member, int64_t missing, int64_t lowest, int64_t highest)
+        {
+            const auto found = body.find(member);
+            if (found == body.end())
+                return missing;
+            const bool isInRange = found->is_number_integer() && found->get<int64_t>() >= lowest && found->get<int64_t>() <= highest;
+            if (isInRange)
+                return found->get<int64_t>();
+            reject(member, std::to_string(lowest) + " to " + std::to_string(highest));
+            return missing;
+        }
+
+        std::chrono::milliseconds readTarget(const std::string& member, std::chrono::milliseconds missing)
+        {
+            return std::chrono::milliseconds(readInteger(member, missing.count(), 1, longestTargetMilliseconds));
+        }
+
+        bool readFlag(const std::string& member, bool missing)
+        {
+            const auto found = body.find(member);
+            if (found == body.end())
+                return missing;
+            if (found->is_boolean())
+                return found->get<bool>();
+            reject(member, "true or false");
+            return missing;
+        }
+
+        template <typename choice, size_t count>
+        choice readChoice(const std::string& member, const std::array<choice, count>& choices)
+        {
+            const std::string text = readText(member);
+            std::string allowed;
+            for (const choice item : choices) {
+                if (text == nameOf(item))
+                    return item;
+                allowed += (allowed.empty() ? "" : " or ") + std::string(nameOf(item));
+            }
+            if (body.contains(member))
+                reject(member, allowed);
+            return choices.front();
+        }
+
+        template <typename value_type>
+        parsed<value_type> finish(value_type& item)
+        {
+            if (mistakes.empty())
+                return std::move(item);
+            return tl::unexpected(std::move(mistakes));
+        }
+    };
+
+    constexpr std::array classKinds { class_kind::Model, class_kind::Service };
+    constexpr std::array versionStates { version_state::Current, version_state::TakingOver, version_state::TakenBack };
+
+    constexpr int64_t highestInteger = std::numeric_limits<int64_t>::max();
+
+} // namespace
+
+const client_account* findAccountByDigest(const configuration& state, const std::string& digest)
+{
+    for (const auto& [id, account] : state.accounts) {
+        if (account.keyDigest == digest)
+            return &account;
+    }
+    return nullptr;
+}
+
+std::string versionKey(const std::string& service, const Common::version_name& version)
+{
+    return service + "/" + version.value;
+}
+
+std::string_view nameOf(class_kind kind)
+{
+    return kind == class_kind::Model ? "model" : "service";
+}
+
+std::string_view nameOf(version_state state)
+{
+    switch (state) {
+    case version_state::Current:
+        return "current";
+    case version_state::TakingOver:
+        return "taking_over";
+    case version_state::TakenBack:
+        return "taken_back";
+    }
+    return "current";
+}
+
+parsed<class_of_work> parseClass(const json& body)
+{
+    constexpr int64_t highestPriority = 9;
+    member_reader reader { body, {} };
+    class_of_work item;
+    item.name = { reader.readName("name") };
+    item.kind = reader.readChoice("work", classKinds);
+    item.service = reader.readName("service");
+    item.isIdempotent = reader.readFlag("idempotent", true);
+    item.firstTokenTarget = reader.readTarget("first_token_ms", item.firstTokenTarget);
+    item.betweenTokensTarget = reader.readTarget("between_tokens_ms", item.betweenTokensTarget);
+    item.answerTarget = reader.readTarget("answer_ms", item.answerTarget);
+    item.maxCostPerThousandTokens = { reader.readInteger("max_cost_micro", 0, 0, highestInteger) };
+    item.priority = static_cast<int>(reader.readInteger("priority", 0, 0, highestPriority));
+    return reader.finish(item);
+}
+
+parsed<client_account> parseAccount(const json& body)
+{
+    constexpr int64_t highestShare = 1000;
+    member_reader reader { body, {} };
+    client_account item;
+    item.id = { reader.readName("name") };
+    item.keyDigest = reader.readName("key_digest");
+    item.share = static_cast<uint32_t>(reader.readInteger("share", 1, 1, highestShare));
+    return reader.finish(item);
+}
+
+parsed<endpoint_version> parseVersion(const json& body)
+{
+    member_reader reader { body, {} };
+    endpoint_version item;
+    item.service = reader.readName("service");
+    item.name = { reader.readName("name") };
+    item.state = reader.readChoice("state", versionStates);
+    item.startedAt = { reader.readInteger("started_at_ms", 0, 0, highestInteger) };
+    item.deadline = { reader.readInteger("deadline_ms", 0, 0, highestInteger) };
+    item.cause = reader.readText("cause");
+    return reader.finish(item);
+}
+
+ordered_json toJson(const class_of_work& item)
+{
+    return {
+        { "name", item.name.value },
+        { "work", nameOf(item.kind) },
+        { "service", item.service },
+        { "idempotent", item.isIdempotent },
+        { "first_token_ms", item.firstTokenTarget.count() },
+        { "between_tokens_ms", item.betweenTokensTarget.count() },
+        { "answer_ms", item.answerTarget.count() },
+        { "max_cost_micro", item.maxCostPerThousandTokens.value },
+        { "priority", item.priority },
+    };
+}
+
+ordered_json toJson(const client_account& item)
+{
+    return { { "name", item.id.value }, { "key_digest", item.keyDigest }, { "share", item.share } };
+}
+
+ordered_json toJson(const endpoint_version& item)
+{
+    return {
+        { "service", item.service },
+        { "name", item.name.value },
+        { "state", nameOf(item.state) },
+        { "started_at_ms", item.startedAt.value },
+        { "deadline_ms", item.deadline.value },
+        { "cause", item.cause },
+    };
+}
+
+ordered_json toJson(const configuration& state)
+{
+    ordered_json body { { "version", state.version.value } };
+    body["classes"] = ordered_json::array();
+    for (const auto& [name, item] : state.classes)
+        body["classes"].push_back(toJson(item));
+    body["accounts"] = ordered_json::array();
+    for (const auto& [id, item] : state.accounts)
+        body["accounts"].push_back(toJson(item));
+    body["versions"] = ordered_json::array();
+    for (const auto& [key, item] : state.versions)
+        body["versions"].push_back(toJson(item));
+    return body;
+}
+
+parsed<configuration> parseConfiguration(const json& body)
+{
+    if (!body.is_object())
+        return tl::unexpected(std::vector<mistake> { { "configuration", body.dump(), "an object" } });
+    configuration state;
+    state.version = { body.value("version", uint64_t { 0 }) };
+    for (const json& item : body.value("classes", json::array())) {
+        auto parsedItem = parseClass(item);
+        if (!parsedItem)
+            return tl::unexpected(parsedItem.error());
+        state.classes[parsedItem->name] = *parsedItem;
+    }
+    for (const json& item : body.value("accounts", json::array())) {
+        auto parsedItem = parseAccount(item);
+        if (!parsedItem)
+            return tl::unexpected(parsedItem.error());
+        state.accounts[parsedItem->id] = *parsedItem;
+    }
+    for (const json& item : body.value("versions", json::array())) {
+        auto parsedItem = parseVersion(item);
+        if (!parsedItem)
+            return tl::unexpected(parsedItem.error());
+        state.versions[versionKey(parsedItem->service, parsedItem->name)] = *parsedItem;
+    }
+    return state;
+}
+
+} // namespace Configuration
--- /dev/null
+++ b/Source/Core/Endpoints/EndpointsDuty.cpp
@@ -0,0 +1,133 @@
+#include "Endpoints/EndpointsDuty.h"
+
+#include "Common/Log.h"
+#include "Common/Metrics.h"
+#include "Endpoints/CloudCodec.h"
+
+namespace Endpoints {
+
+namespace {
+
+    constexpr std::chrono::milliseconds longestWait { 100 };
+    constexpr std::chrono::milliseconds listTimeLimit { 2000 };
+    constexpr std::chrono::milliseconds loadTimeLimit { 1000 };
+    constexpr long statusOk = 200;
+
+    bool isAnswered(const Http::transfer_answer& answer)
+    {
+        return answer.end == Http::transfer_end::Complete && answer.status == statusOk;
+    }
+
+} // namespace
+
+endpoints_duty::endpoints_duty(endpoints_settings settings, endpoints_outlets outlets)
+    : m_settings(std::move(settings))
+    , m_outlets(std::move(outlets))
+    , m_inbox(m_settings.ringCapacity)
+{
+    m_inbox.setWaker([this] { m_client.wake(); });
+}
+
+bool endpoints_duty::submit(leaving_notice&& notice)
+{
+    return m_inbox.push(notice);
+}
+
+void endpoints_duty::run()
+{
+    std::vector<leaving_notice> batch;
+    while (!m_isStopping) {
+        m_inbox.drainInto(batch);
+        for (leaving_notice& notice : batch)
+            dispatch(std::move(notice));
+        pollDue(std::chrono::steady_clock::now());
+        m_client.poll(longestWait);
+    }
+}
+
+void endpoints_duty::stop()
+{
+    m_isStopping = true;
+    m_client.wake();
+}
+
+void endpoints_duty::pollDue(Common::instant now)
+{
+    if (now >= m_nextList && !m_isListing) {
+        m_nextList = now + m_settings.listInterval;
+        pollList();
+    }
+    if (now < m_nextLoad)
+        return;
+    m_nextLoad = now + m_settings.loadInterval;
+    for (const auto& [id, entry] : m_table.entries)
+        pollLoad(entry.info);
+    // An unreachable endpoint becomes usable again by the passing of time alone.
+    perform(publish_endpoints { listUsable(m_table, now) });
+}
+
+void endpoints_duty::pollList()
+{
+    m_isListing = true;
+    Http::outgoing_request request;
+    request.url = m_settings.cloudUrl + "/v1/instances";
+    request.timeLimit = listTimeLimit;
+    m_client.start(std::move(request), [this](Http::transfer_answer&& answer) {
+        m_isListing = false;
+        if (!isAnswered(answer)) {
+            Common::countMetric("filbertreel_cloud_list_failures_total");
+            return;
+        }
+        auto instances = parseInstances(answer.body);
+        if (instances)
+            dispatch(cloud_list { std::move(*instances) });
+    });
+}
+
+void endpoints_duty::pollLoad(const instance_info& info)
+{
+    if (!m_polling.insert(info.id).second)
+        return;
+    Http::outgoing_request request;
+    request.url = "http://" + info.address + "/load";
+    request.timeLimit = loadTimeLimit;
+    m_client.start(std::move(request), [this, id = info.id](Http::transfer_answer&& answer) {
+        m_polling.erase(id);
+        if (!isAnswered(answer))
+            return;
+        auto report = parseLoad(id, answer.body);
+        if (report)
+            dispatch(own_load { std::move(*report) });
+    });
+}
+
+void endpoints_duty::dispatch(table_message&& message)
+{
+    const std::vector<table_action> actions = stepEndpoints(m_table, std::move(message), std::chrono::steady_clock::now());
+    for (const table_action& action : actions)
+        std::visit([this](const auto& item) { perform(item); }, action);
+}
+
+void endpoints_duty::perform(const publish_endpoints& action)
+{
+    Common::setMetric("filbertreel_endpoints_usable", static_cast<double>(action.usable->size()));
+    m_outlets.publishEndpoints(action.usable);
+}
+
+void endpoints_duty::perform(const publish_load& action)
+{
+    m_outlets.publishLoad(action.report);
+}
+
+void endpoints_duty::perform(const tell_peers_leaving& action)
+{
+    Common::logEvent(Common::log_level::Info, "endpoint_leaving", { { "endpoint", action.id.value } });
+    m_outlets.tellPeersLeaving(action.id);
+}
+
+void endpoints_duty::perform(const publish_entries& action)
+{
+    m_outlets.publishEntries(action.entries);
+}
+
+} // namespace Endpoints
--- /dev/null
+++ b/Source/Core/Entry/EntryDuty.cpp
@@ -0,0 +1,341 @@
+#include "Entry/EntryDuty.h"
+
+#include "Common/Metrics.h"
+#include "Entry/Answers.h"
+
+namespace Entry {
+
+namespace {
+
+    constexpr size_t ringCapacity = 16384;
+    constexpr int statusOk = 200;
+    constexpr int statusSeeOther = 303;
+    constexpr int statusTemporaryRedirect = 307;
+    constexpr size_t reportWrittenBytes = size_t { 16 } * 1024;
+    constexpr int comeBackSeconds = 1;
+    constexpr std::chrono::milliseconds searchTimeLimit { 1000 };
+
+    bool startsWith(const std::string& text, std::string_view prefix)
+    {
+        return std::string_view(text).substr(0, prefix.size()) == prefix;
+    }
+
+    Common::failure ringFull(std::string_view duty)
+    {
+        return { Common::failure_kind::Overloaded, std::string(duty), Common::run_state::NotRun, comeBackSeconds };
+    }
+
+} // namespace
+
+entry_duty::entry_duty(entry_settings settings, entry_outlets outlets)
+    : m_settings(std::move(settings))
+    , m_outlets(std::move(outlets))
+    , m_inbox(ringCapacity)
+    , m_directory(indexAccounts(std::make_shared<const Configuration::configuration>()))
+    , m_server(
+          m_settings.http, [this](Http::incoming_request&& request) { receive(std::move(request)); },
+          [this](Common::caller_token token, size_t, bool isAlive) { observeWrite(token, isAlive); })
+{
+    m_status.node = m_settings.node;
+    m_status.zone = m_settings.zone;
+    m_status.region = m_settings.region;
+    m_inbox.setWaker([this] { m_server.post([this] { drain(); }); });
+}
+
+bool entry_duty::submit(entry_message&& message)
+{
+    return m_inbox.push(message);
+}
+
+void entry_duty::run()
+{
+    m_server.run();
+}
+
+void entry_duty::stop()
+{
+    m_server.stop();
+}
+
+void entry_duty::drain()
+{
+    m_inbox.drainInto(m_batch);
+    for (entry_message& message : m_batch)
+        std::visit([this](auto& item) { handle(std::move(item)); }, message);
+}
+
+void entry_duty::receive(Http::incoming_request&& request)
+{
+    Common::countMetric("filbertreel_http_requests_total");
+    if (startsWith(request.path, operatorPrefix)) {
+        receiveOperator(request);
+        return;
+    }
+    if (request.path == chatPath && request.method == "POST") {
+        forward(request.token, parseChat(m_directory, request));
+        return;
+    }
+    if (startsWith(request.path, servicesPrefix)) {
+        forward(request.token, parseServiceCall(m_directory, request));
+        return;
+    }
+    if (startsWith(request.path, requestsPrefix) && request.method == "GET") {
+        m_resumeQueries[request.token.value] = request.query;
+        forward(request.token, parseResume(m_directory, request));
+        return;
+    }
+    receivePlain(request);
+}
+
+void entry_duty::receivePlain(const Http::incoming_request& request)
+{
+    if (request.path == "/v1/addresses") {
+        answerAddresses(request.token);
+        return;
+    }
+    if (request.path == "/healthz") {
+        answerJson(request.token, statusOk, "{\"status\":\"ok\"}");
+        return;
+    }
+    if (request.path == "/readyz") {
+        const bool isReady = m_status.configuration.value > 0 && m_status.endpoints && !m_status.isLeaving;
+        if (isReady)
+            answerJson(request.token, statusOk, "{\"status\":\"ready\"}");
+        else
+            answerFailure(request.token, { Common::failure_kind::NotReady, m_settings.node.value, Common::run_state::NotRun, comeBackSeconds });
+        return;
+    }
+    if (request.path == "/metrics") {
+        Common::recordProcessMetrics();
+        m_server.respond(request.token, statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, Common::printMetrics());
+        return;
+    }
+    answerFailure(request.token, { Common::failure_kind::UnknownPath, request.path, Common::run_state::NotRun, 0 });
+}
+
+void entry_duty::receiveOperator(const Http::incoming_request& request)
+{
+    operator_request parsed = parseOperatorRequest(m_settings.operatorKey, m_status, m_directory, request);
+    if (auto* answer = std::get_if<operator_answer>(&parsed)) {
+        answerJson(request.token, answer->status, std::move(answer->body));
+        return;
+    }
+    bool isTaken = false;
+    if (auto* proposal = std::get_if<Configuration::proposal>(&parsed))
+        isTaken = m_outlets.tellConfiguration(std::move(*proposal));
+    if (auto* query = std::get_if<Audit::explain_query>(&parsed))
+        isTaken = m_outlets.tellAudit(std::move(*query));
+    if (auto* query = std::get_if<Audit::trail_query>(&parsed))
+        isTaken = m_outlets.tellAudit(*query);
+    if (!isTaken)
+        answerFailure(request.token, ringFull("operator"));
+}
+
+template <typename message_type>
+void entry_duty::forward(Common::caller_token token, Common::result<message_type>&& parsed)
+{
+    if (!parsed) {
+        answerFailure(token, parsed.error());
+        return;
+    }
+    if (!m_outlets.tellDispatch(std::move(*parsed)))
+        answerFailure(token, ringFull("dispatch"));
+}
+
+void entry_duty::observeWrite(Common::caller_token token, bool isAlive)
+{
+    const auto found = m_unwritten.find(token.value);
+    if (found == m_unwritten.end())
+        return;
+    if (!found->second.sizes.empty()) {
+        found->second.writtenSinceReport += found->second.sizes.front();
+        found->second.sizes.pop_front();
+    }
+    if (!isAlive || found->second.writtenSinceReport >= reportWrittenBytes)
+        reportWritten(token, isAlive);
+}
+
+void entry_duty::reportWritten(Common::caller_token token, bool isAlive)
+{
+    const auto found = m_unwritten.find(token.value);
+    const size_t bytes = std::exchange(found->second.writtenSinceReport, 0);
+    if (!isAlive)
+        m_unwritten.erase(found);
+    static_cast<void>(m_outlets.tellDispatch(Dispatch::caller_written { token, bytes, isAlive }));
+}
+
+void entry_duty::answerAddresses(Common::caller_token token)
+{
+    nlohmann::ordered_json list = nlohmann::ordered_json::array();
+    if (!m_status.isLeaving)
+        list.push_back({ { "url", "http://" + m_settings.advertisedAddress }, { "zone", m_settings.zone.value }, { "region", m_settings.region.value } });
+    for (const auto& [id, item] : m_status.members) {
+        if (item.status == Membership::member_status::Alive)
+            list.push_back({ { "url", "http://" + item.httpAddress }, { "zone", item.zone.value }, { "region", item.region.value } });
+    }
+    nlohmann::ordered_json body;
+    body["addresses"] = std::move(list);
+    body["ttl_ms"] = m_settings.addressTimeToLive.count();
+    answerJson(token, statusOk, body.dump());
+}
+
+void entry_duty::answerFailure(Common::caller_token token, const Common::failure& reason, const Common::request_id& request)
+{
+    Common::countMetric("filbertreel_failures_total{code=\"" + std::string(nameOf(reason.kind)) + "\"}");
+    std::vector<Http::header> headers { { "Content-Type", "application/json" } };
+    if (!request.value.empty())
+        headers.push_back({ "X-Request-Id", request.value });
+    if (reason.retryAfterSeconds > 0)
+        headers.push_back({ "Retry-After", std::to_string(reason.retryAfterSeconds) });
+    m_server.respond(token, httpStatusOf(reason.kind), headers, describeAsJson(reason));
+}
+
+void entry_duty::answerJson(Common::caller_token token, int status, std::string body, const Common::request_id& request)
+{
+    std::vector<Http::header> headers { { "Content-Type", "application/json" } };
+    if (!request.value.empty())
+        headers.push_back({ "X-Request-Id", request.value });
+    m_server.respond(token, status, headers, std::move(body));
+}
+
+void entry_duty::redirect(Common::caller_token token, const Common::request_id& request, const std::string& httpAddress, const std::string& query)
+{
+    const std::string location = "http://" + httpAddress + std::string(requestsPrefix) + request.value + (query.empty() ? "" : "?" + query);
+    const bool isResume = m_resumeQueries.contains(token.value);
+    m_resumeQueries.erase(token.value);
+    m_server.respond(token, isResume ? statusTemporaryRedirect : statusSeeOther, { { "Location", location }, { "X-Request-Id", request.value } }, "");
+}
+
+void entry_duty::handle(caller_actions&& message)
+{
+    for (Dispatch::caller_action& action : message.actions)
+        std::visit([this](auto& item) { perform(item); }, action);
+}
+
+void entry_duty::handle(operator_answered&& message)
+{
+    answerJson(message.token, message.answer.status, std::move(message.answer.body));
+}
+
+void entry_duty::handle(configuration_changed&& message)
+{
+    m_status.configuration = message.config->version;
+    m_directory = indexAccounts(std::move(message.config));
+}
+
+void entry_duty::handle(members_changed&& message)
+{
+    m_status.members = std::move(message.members);
+}
+
+void entry_duty::handle(endpoints_changed&& message)
+{
+    m_status.endpoints = std::move(message.endpoints);
+}
+
+void entry_duty::handle(request_located&& message)
+{
+    const auto found = m_searching.find(message.request);
+    if (found == m_searching.end())
+        return;
+    const std::vector<searching_caller> callers = std::move(found->second);
+    m_searching.erase(found);
+    for (const searching_caller& caller : callers)
+        redirect(caller.token, message.request, message.httpAddress, caller.query);
+}
+
+void entry_duty::handle(leaving_begun&&)
+{
+    m_status.isLeaving = true;
+}
+
+void entry_duty::perform(Dispatch::send_stream_head& action)
+{
+    m_resumeQueries.erase(action.token.value);
+    m_unwritten.try_emplace(action.token.value);
+    m_server.beginStream(action.token, statusOk, { { "Content-Type", "text/event-stream" }, { "Cache-Control", "no-store" }, { "X-Request-Id", action.request.value } });
+}
+
+void entry_duty::perform(Dispatch::send_tokens& action)
+{
+    const auto found = m_unwritten.find(action.token.value);
+    if (found == m_unwritten.end())
+        return;
+    size_t size = 0;
+    for (const std::string& text : action.texts)
+        size += text.size();
+    found->second.sizes.push_back(size);
+    m_server.writeChunk(action.token, formatTokens(action));
+}
+
+void entry_duty::perform(Dispatch::send_stream_end& action)
+{
+    m_server.writeChunk(action.token, formatStreamEnd(action));
+    m_server.endStream(action.token);
+    m_unwritten.erase(action.token.value);
+}
+
+void entry_duty::perform(Dispatch::send_stream_failure& action)
+{
+    m_server.writeChunk(action.token, formatStreamFailure(action));
+    m_server.endStream(action.token);
+    m_unwritten.erase(action.token.value);
+}
+
+void entry_duty::perform(Dispatch::send_completion& action)
+{
+    m_resumeQueries.erase(action.token.value);
+    answerJson(action.token, statusOk, formatCompletion(action), action.request);
+}
+
+void entry_duty::perform(Dispatch::send_service_answer& action)
+{
+    std::vector<Http::header> headers { { "Content-Type", "application/json" }, { "X-Request-Id", action.request.value } };
+    if (action.isReplay)
+        headers.push_back({ "Idempotency-Replayed", "true" });
+    m_server.respond(action.token, action.status, headers, std::move(action.body));
+}
+
+void entry_duty::perform(Dispatch::send_failure& action)
+{
+    m_resumeQueries.erase(action.token.value);
+    answerFailure(action.token, action.reason, action.request);
+}
+
+void entry_duty::perform(Dispatch::send_redirect& action)
+{
+    if (!action.isStreamed) {
+        redirect(action.token, action.request, action.httpAddress, "stream=false");
+        return;
+    }
+    // The caller's event source reconnects by its last event id; others find the address in this event.
+    m_server.writeChunk(action.token, "retry: 100\nevent: moved\ndata: {\"location\":\"http://" + action.httpAddress + std::string(requestsPrefix) + action.request.value + "\"}\n\n");
+    m_server.endStream(action.token);
+    m_unwritten.erase(action.token.value);
+}
+
+void entry_duty::perform(Dispatch::locate_request& action)
+{
+    std::string query;
+    const auto known = m_resumeQueries.find(action.token.value);
+    if (known != m_resumeQueries.end())
+        query = known->second;
+    m_searching[action.request].push_back({ action.token, query });
+    m_outlets.findHolder(action.request);
+    m_server.runAfter(searchTimeLimit, [this, request = action.request] { giveUpSearch(request); });
+}
+
+void entry_duty::giveUpSearch(const Common::request_id& request)
+{
+    const auto found = m_searching.find(request);
+    if (found == m_searching.end())
+        return;
+    const std::vector<searching_caller> callers = std::move(found->second);
+    m_searching.erase(found);
+    for (const searching_caller& caller : callers) {
+        m_resumeQueries.erase(caller.token.value);
+        answerFailure(caller.token, { Common::failure_kind::UnknownRequest, request.value, Common::run_state::Unknown, 0 }, request);
+    }
+}
+
+} // namespace Entry
--- /dev/null
+++ b/Source/Core/Http/Client.cpp
@@ -0,0 +1,203 @@
+#include "Http/Client.h"
+
+#include <unordered_map>
+
+#include <curl/curl.h>
+
+namespace Http {
+
+namespace {
+
+    struct transfer {
+        transfer_id id { 0 };
+        CURL* handle { nullptr };
+        curl_slist* headerLines { nullptr };
+        outgoing_request request;
+        client::end_handler onEnd;
+        client::data_handler onData;
+        std::string body;
+        uint64_t received { 0 };
+        bool isPaused { false };
+
+        ~transfer()
+        {
+            curl_slist_free_all(headerLines);
+            curl_easy_cleanup(handle);
+        }
+    };
+
+    size_t takeBytes(char* bytes, size_t, size_t count, void* user)
+    {
+        auto& item = *static_cast<transfer*>(user);
+        if (item.isPaused)
+            return CURL_WRITEFUNC_PAUSE;
+        item.received += count;
+        if (item.received > item.request.maxAnswerBytes)
+            return 0;
+        if (!item.onData) {
+            item.body.append(bytes, count);
+            return count;
+        }
+        long status = 0;
+        curl_easy_getinfo(item.handle, CURLINFO_RESPONSE_CODE, &status);
+        item.onData(status, { bytes, count });
+        return count;
+    }
+
+    void setMethod(transfer& item)
+    {
+        if (item.request.method == "GET")
+            return;
+        curl_easy_setopt(item.handle, CURLOPT_CUSTOMREQUEST, item.request.method.c_str());
+        curl_easy_setopt(item.handle, CURLOPT_POSTFIELDS, item.request.body.data());
+        curl_easy_setopt(item.handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(item.request.body.size()));
+    }
+
+    void setHeaders(transfer& item)
+    {
+        for (const header& line : item.request.headers)
+            item.headerLines = curl_slist_append(item.headerLines, (line.name + ": " + line.value).c_str());
+        // Without this line libcurl waits a second for "100 Continue" before it sends a large body.
+        item.headerLines = curl_slist_append(item.headerLines, "Expect:");
+        curl_easy_setopt(item.handle, CURLOPT_HTTPHEADER, item.headerLines);
+    }
+
+    void configure(transfer& item)
+    {
+        curl_easy_setopt(item.handle, CURLOPT_URL, item.request.url.c_str());
+        curl_easy_setopt(item.handle, CURLOPT_PRIVATE, &item);
+        curl_easy_setopt(item.handle, CURLOPT_WRITEFUNCTION, takeBytes);
+        curl_easy_setopt(item.handle, CURLOPT_WRITEDATA, &item);
+        curl_easy_setopt(item.handle, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(item.handle, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(item.handle, CURLOPT_PROXY, "");
+        curl_easy_setopt(item.handle, CURLOPT_TIMEOUT_MS, static_cast<long>(item.request.timeLimit.count()));
+        curl_easy_setopt(item.handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(item.request.connectLimit.count()));
+        if (!item.request.mayRepeat) {
+            curl_easy_setopt(item.handle, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(item.handle, CURLOPT_FORBID_REUSE, 1L);
+        }
+        setMethod(item);
+        setHeaders(item);
+    }
+
+    transfer_end classify(CURL* handle, CURLcode code)
+    {
+        if (code == CURLE_OK)
+            return transfer_end::Complete;
+        if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT)
+            return transfer_end::NotSent;
+        if (code != CURLE_OPERATION_TIMEDOUT)
+            return transfer_end::Cut;
+        curl_off_t connectTime = 0;
+        curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connectTime);
+        return connectTime == 0 ? transfer_end::NotSent : transfer_end::TimedOut;
+    }
+
+} // namespace
+
+struct client::implementation {
+    CURLM* multi { nullptr };
+    transfer_id lastId { 0 };
+    std::unordered_map<transfer_id, std::unique_ptr<transfer>> transfers;
+
+    std::unique_ptr<transfer> take(transfer_id id)
+    {
+        const auto found = transfers.find(id);
+        if (found == transfers.end())
+            return nullptr;
+        std::unique_ptr<transfer> taken = std::move(found->second);
+        transfers.erase(found);
+        curl_multi_remove_handle(multi, taken->handle);
+        return taken;
+    }
+
+    void finish(CURL* handle, CURLcode code)
+    {
+        transfer* item = nullptr;
+        curl_easy_getinfo(handle, CURLINFO_PRIVATE, &item);
+        transfer_answer answer;
+        answer.end = classify(handle, code);
+        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &answer.status);
+        const std::unique_ptr<transfer> taken = take(item->id);
+        answer.body = std::move(taken->body);
+        taken->onEnd(std::move(answer));
+    }
+};
+
+client::client()
+    : m_implementation(std::make_unique<implementation>())
+{
+    static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(initialized);
+    m_implementation->multi = curl_multi_init();
+}
+
+client::~client()
+{
+    while (!m_implementation->transfers.empty())
+        cancel(m_implementation->transfers.begin()->first);
+    curl_multi_cleanup(m_implementation->multi);
+}
+
+transfer_id client::start(outgoing_request request, end_handler onEnd, data_handler onData)
+{
+    auto item = std::make_unique<transfer>();
+    item->id = ++m_implementation->lastId;
+    item->handle = curl_easy_init();
+    item->request = std::move(request);
+    item->onEnd = std::move(onEnd);
+    item->onData = std::move(onData);
+    configure(*item);
+    curl_multi_add_handle(m_implementation->multi, item->handle);
+    const transfer_id id = item->id;
+    m_implementation->transfers.emplace(id, std::move(item));
+    return id;
+}
+
+void client::cancel(transfer_id id)
+{
+    m_implementation->take(id);
+}
+
+void client::pause(transfer_id id)
+{
+    const auto found = m_implementation->transfers.find(id);
+    if (found != m_implementation->transfers.end())
+        found->second->isPaused = true;
+}
+
+void client::resume(transfer_id id)
+{
+    const auto found = m_implementation->transfers.find(id);
+    if (found == m_implementation->transfers.end() || !found->second->isPaused)
+        return;
+    found->second->isPaused = false;
+    curl_easy_pause(found->second->handle, CURLPAUSE_CONT);
+}
+
+void client::poll(std::chrono::milliseconds longest)
+{
+    CURLM* multi = m_implementation->multi;
+    int running = 0;
+    curl_multi_perform(multi, &running);
+    curl_multi_poll(multi, nullptr, 0, static_cast<int>(longest.count()), nullptr);
+    curl_multi_perform(multi, &running);
+    int waiting = 0;
+    while (const CURLMsg* message = curl_multi_info_read(multi, &waiting)) {
+        if (message->msg == CURLMSG_DONE)
+            m_implementation->finish(message->easy_handle, message->data.result);
+    }
+}
+
+void client::wake()
+{
+    curl_multi_wakeup(m_implementation->multi);
+}
+
+size_t client::active() const
+{
+    return m_implementation->transfers.size();
+}
+
+} // namespace Http
--- /dev/null
+++ b/Source/Core/Membership/PeerDuty.h
@@ -0,0 +1,98 @@
+#pragma once
+
+/// @file
+/// The peer duty: the thread that runs the membership decisions and speaks to the other entry nodes over ZeroMQ.
+
+#include "Common/Ring.h"
+#include "Configuration/VersionChain.h"
+#include "Dispatch/Messages.h"
+#include "Membership/Members.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace Membership {
+
+/// Give changes of the configuration to all linked peers.
+struct push_changes {
+    std::vector<Configuration::change> changes;
+};
+
+/// Ask a linked peer for changes.
+struct pull_changes {
+    Common::config_version after;
+};
+
+/// Answer a peer that asked for changes.
+struct give_changes {
+    Configuration::answer_peer reply;
+};
+
+/// Tell the linked peers that an endpoint leaves.
+struct push_leaving {
+    Common::endpoint_id endpoint;
+};
+
+/// Find a peer that takes over a request.
+struct place_transfer {
+    Dispatch::request_transfer item;
+};
+
+/// Tell a leaving peer that its request is taken.
+struct confirm_transfer {
+    Common::node_id peer;
+    Common::request_id request;
+};
+
+/// Ask the peers that may hold a request.
+struct find_holder {
+    Common::request_id request;
+};
+
+/// Tell a peer that the request it looks for is here.
+struct confirm_holder {
+    Common::node_id peer;
+    Common::request_id request;
+};
+
+using peer_message = std::variant<seeds_known, configuration_moved, leave_begun, push_changes, pull_changes, give_changes,
+    push_leaving, place_transfer, confirm_transfer, find_holder, confirm_holder>;
+
+/// Where the duty's actions go. None of them blocks.
+struct peer_outlets {
+    std::function<void(const member_map&)> publishMembers;
+    std::function<void(Configuration::chain_message&&)> tellConfiguration;
+    std::function<void(const Common::endpoint_id&)> endpointLeaving;
+    std::function<void(Dispatch::dispatch_message&&)> tellDispatch;
+    std::function<void(const Common::request_id&, const std::string& httpAddress)> located;
+};
+
+struct peer_settings {
+    member self;
+    std::string listenAddress; ///< IP number and port that the socket binds.
+    std::vector<std::string> seeds;
+    uint64_t seed { 1 };
+    membership_settings membership;
+};
+
+class peer_duty {
+public:
+    peer_duty(peer_settings settings, peer_outlets outlets);
+    ~peer_duty();
+    peer_duty(const peer_duty&) = delete;
+    peer_duty& operator=(const peer_duty&) = delete;
+
+    /// Hands a message over; may be called from any thread.
+    /// @return whether the ring took it.
+    bool submit(peer_message&& message);
+    /// Serves until stop(). Throws std::exception when the address can't be bound.
+    void run();
+    void stop();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace Membership
--- /dev/null
+++ b/Source/Core/Routing/Router.cpp
@@ -0,0 +1,306 @@
+#include "Routing/Router.h"
+
+#include <algorithm>
+
+namespace Routing {
+
+namespace {
+
+    constexpr double sameRegionLinkSeconds = 0.001;
+    constexpr double crossRegionLinkSeconds = 0.030;
+    constexpr double cachedPrefixFactor = 0.3;
+    /// Traffic across regions is paid by volume: micro money for one typical answer.
+    constexpr double crossRegionCostMicro = 40.0;
+    constexpr double secondsPerHour = 3600.0;
+    /// A prediction may use this share of the target; the rest covers its error.
+    constexpr double targetShare = 0.8;
+    /// Costs within this factor of the cheapest count as equal.
+    constexpr double equalCostFactor = 1.1;
+    constexpr double learningRate = 0.1;
+    constexpr double shortestFirstTokenSeconds = 0.001;
+    constexpr double ejectionFailureRate = 0.5;
+    constexpr std::chrono::seconds firstEjection { 1 };
+    constexpr uint32_t maxEjectionDoublings { 5 };
+    constexpr std::chrono::seconds slowStartPeriod { 10 };
+    constexpr size_t maxPrefixHolders = 8192;
+    constexpr uint32_t shareScale = 1000;
+
+    struct candidate {
+        uint32_t index;
+        double firstTokenSeconds;
+        double costMicro;
+    };
+
+    double linkSeconds(const router_state& state, const Endpoints::instance_info& info)
+    {
+        return info.region == state.region ? sameRegionLinkSeconds : crossRegionLinkSeconds;
+    }
+
+    double occupied(const endpoint_view& view)
+    {
+        // The report lags, so what this node has sent since counts too.
+        return static_cast<double>(view.reportedRunning) + view.reportedWaiting + view.sentSinceReport;
+    }
+
+    double queueSeconds(const endpoint_view& view)
+    {
+        const double slots = std::max<uint32_t>(view.info.slots, 1);
+        const double ahead = std::max(0.0, occupied(view) + 1 - slots);
+        return ahead / slots * view.answerSeconds;
+    }
+
+    candidate predict(const router_state& state, uint32_t index, const Common::endpoint_id* prefixHolder)
+    {
+        const endpoint_view& view = state.views[index];
+        const bool holdsPrefix = prefixHolder && *prefixHolder == view.info.id;
+        const double prefill = view.firstTokenSeconds * (holdsPrefix ? cachedPrefixFactor : 1.0);
+        const double slots = std::max<uint32_t>(view.info.slots, 1);
+        const double occupiedSeconds = view.answerSeconds - view.firstTokenSeconds + prefill;
+        candidate item { index, 0, 0 };
+        item.firstTokenSeconds = linkSeconds(state, view.info) + queueSeconds(view) + prefill;
+        item.costMicro = static_cast<double>(view.info.pricePerHour.value) / secondsPerHour / slots * std::max(occupiedSeconds, 0.0);
+        if (view.info.region != state.region)
+            item.costMicro += crossRegionCostMicro;
+        return item;
+    }
+
+    bool isAvoided(const routing_request& request, const Common::endpoint_id& id)
+    {
+        return std::find(request.avoided.begin(), request.avoided.end(), id) != request.avoided.end();
+    }
+
+    bool isAdmissible(const endpoint_view& view, const routing_request& request, Common::instant now)
+    {
+        return view.ejectedUntil <= now && !isAvoided(request, view.info.id);
+    }
+
+    /// A newcomer takes a growing share of the choices, so that a cold cache is not flooded.
+    bool passesSlowStart(router_state& state, const endpoint_view& view, Common::instant now)
+    {
+        const auto age = now - view.firstSeen;
+        if (age >= slowStartPeriod)
+            return true;
+        const double share = std::chrono::duration<double>(age) / std::chrono::duration<double>(slowStartPeriod);
+        return Common::uniformUnit(state.random) < std::max(share, learningRate);
+    }
+
+    /// @return the version that this request goes to, or nothing when the shares do not restrict it.
+    std::optional<Common::version_name> drawVersion(router_state& state, const routing_request& request)
+    {
+        if (!request.versionShares)
+            return std::nullopt;
+        uint32_t point = Common::uniformBelow(state.random, shareScale);
+        for (const auto& [name, share] : *request.versionShares) {
+            if (point < share)
+                return name;
+            point -= share;
+        }
+        return std::nullopt;
+    }
+
+    bool matchesVersion(const routing_request& request, const std::optional<Common::version_name>& drawn, const Common::version_name& version)
+    {
+        if (drawn)
+            return version == *drawn;
+        return !request.versionShares || !request.versionShares->contains(version);
+    }
+
+    using index_list = std::vector<uint32_t>;
+
+    index_list admissible(router_state& state, const routing_request& request, Common::instant now)
+    {
+        index_list list;
+        const auto found = state.byService.find(request.work->service);
+        if (found == state.byService.end())
+            return list;
+        const auto drawn = drawVersion(state, request);
+        list.reserve(found->second.size());
+        for (const uint32_t index : found->second) {
+            const endpoint_view& view = state.views[index];
+            if (isAdmissible(view, request, now) && matchesVersion(request, drawn, view.info.version))
+                list.push_back(index);
+        }
+        return list;
+    }
+
+    const Common::endpoint_id* findPrefixHolder(const router_state& state, uint64_t prefixHash)
+    {
+        const auto found = state.prefixHolders.find(prefixHash);
+        return prefixHash != 0 && found != state.prefixHolders.end() ? &found->second : nullptr;
+    }
+
+    const candidate& fasterOfTwo(router_state& state, const std::vector<candidate>& items)
+    {
+        // Two random choices keep many nodes from chasing the same idle endpoint.
+        const auto count = static_cast<uint32_t>(items.size());
+        const candidate& first = items[Common::uniformBelow(state.random, count)];
+        const candidate& second = items[Common::uniformBelow(state.random, count)];
+        return second.firstTokenSeconds < first.firstTokenSeconds ? second : first;
+    }
+
+    routing_choice chooseCheapest(router_state& state, const routing_request& request, const index_list& list, Common::instant now)
+    {
+        const bool isModel = request.work->kind == Configuration::class_kind::Model;
+        const auto target = isModel ? request.work->firstTokenTarget : request.work->answerTarget;
+        const double limit = std::chrono::duration<double>(target).count() * targetShare;
+        const Common::endpoint_id* holder = findPrefixHolder(state, request.prefixHash);
+        std::vector<candidate> all;
+        all.reserve(list.size());
+        double cheapest = -1;
+        for (const uint32_t index : list) {
+            const candidate item = predict(state, index, holder);
+            const bool isCheapest = item.firstTokenSeconds <= limit && (cheapest < 0 || item.costMicro < cheapest);
+            if (isCheapest && passesSlowStart(state, state.views[index], now))
+                cheapest = item.costMicro;
+            all.push_back(item);
+        }
+        if (cheapest < 0) {
+            const candidate& fastest = *std::min_element(all.begin(), all.end(), [](const candidate& left, const candidate& right) {
+                return left.firstTokenSeconds < right.firstTokenSeconds;
+            });
+            return { fastest.index, fastest.firstTokenSeconds, fastest.costMicro, false };
+        }
+        std::erase_if(all, [&](const candidate& item) {
+            return item.firstTokenSeconds > limit || item.costMicro > cheapest * equalCostFactor;
+        });
+        const candidate& chosen = fasterOfTwo(state, all);
+        return { chosen.index, chosen.firstTokenSeconds, chosen.costMicro, true };
+    }
+
+    uint32_t distance(const router_state& state, const Endpoints::instance_info& info)
+    {
+        if (info.zone == state.zone)
+            return 0;
+        return info.region == state.region ? 1 : 2;
+    }
+
+    uint32_t chooseBaseline(router_state& state, const index_list& list)
+    {
+        if (state.chosenPolicy == policy::RoundRobin)
+            return list[state.roundRobinNext++ % list.size()];
+        if (state.chosenPolicy == policy::LeastReported) {
+            return *std::min_element(list.begin(), list.end(), [&state](uint32_t left, uint32_t right) {
+                const endpoint_view& leftView = state.views[left];
+                const endpoint_view& rightView = state.views[right];
+                return leftView.reportedRunning + leftView.reportedWaiting < rightView.reportedRunning + rightView.reportedWaiting;
+            });
+        }
+        return *std::min_element(list.begin(), list.end(), [&state](uint32_t left, uint32_t right) {
+            return distance(state, state.views[left].info) < distance(state, state.views[right].info);
+        });
+    }
+
+    void eject(endpoint_view& view, Common::instant now)
+    {
+        const uint32_t doublings = std::min(view.ejections, maxEjectionDoublings);
+        view.ejectedUntil = now + firstEjection * (1U << doublings);
+        view.ejections += 1;
+        // Let back in with half of its past held against it.
+        view.failureRate = ejectionFailureRate / 2;
+    }
+
+    void learn(double& estimate, double sample)
+    {
+        estimate += learningRate * (sample - estimate);
+    }
+
+} // namespace
+
+void setEndpoints(router_state& state, const std::vector<Endpoints::instance_info>& usable, Common::instant now)
+{
+    std::vector<endpoint_view> next;
+    next.reserve(usable.size());
+    const bool isFirstList = state.views.empty();
+    for (const Endpoints::instance_info& info : usable) {
+        endpoint_view view;
+        view.firstSeen = isFirstList ? now - slowStartPeriod : now;
+        if (const endpoint_view* known = findView(state, info.id))
+            view = *known;
+        view.info = info;
+        next.push_back(std::move(view));
+    }
+    std::sort(next.begin(), next.end(), [](const endpoint_view& left, const endpoint_view& right) { return left.info.id < right.info.id; });
+    state.views = std::move(next);
+    state.byService.clear();
+    for (uint32_t index = 0; index < state.views.size(); ++index)
+        state.byService[state.views[index].info.service].push_back(index);
+}
+
+void takeReport(router_state& state, const Endpoints::load_report& report)
+{
+    endpoint_view* view = findView(state, report.id);
+    if (!view)
+        return;
+    view->reportedRunning = report.running;
+    view->reportedWaiting = report.waiting;
+    view->sentSinceReport = 0;
+}
+
+std::optional<routing_choice> chooseEndpoint(router_state& state, const routing_request& request, Common::instant now)
+{
+    const index_list list = admissible(state, request, now);
+    if (list.empty())
+        return std::nullopt;
+    if (state.chosenPolicy == policy::CheapestInTarget)
+        return chooseCheapest(state, request, list, now);
+    const uint32_t index = chooseBaseline(state, list);
+    const candidate item = predict(state, index, nullptr);
+    return routing_choice { index, item.firstTokenSeconds, item.costMicro, true };
+}
+
+void noteBegun(router_state& state, const Common::endpoint_id& id, uint64_t prefixHash)
+{
+    endpoint_view* view = findView(state, id);
+    if (!view)
+        return;
+    view->sentSinceReport += 1;
+    view->inFlight += 1;
+    if (prefixHash == 0)
+        return;
+    if (state.prefixHolders.size() >= maxPrefixHolders)
+        state.prefixHolders.clear();
+    state.prefixHolders[prefixHash] = id;
+}
+
+void noteEnded(router_state& state, const Common::endpoint_id& id, const attempt_outcome& outcome, Common::instant now)
+{
+    endpoint_view* view = findView(state, id);
+    if (!view)
+        return;
+    view->inFlight -= view->inFlight > 0 ? 1 : 0;
+    learn(view->failureRate, outcome.isFailed ? 1.0 : 0.0);
+    if (outcome.answerSeconds)
+        learn(view->answerSeconds, *outcome.answerSeconds);
+    if (!outcome.isFailed)
+        view->ejections = 0;
+    if (view->failureRate >= ejectionFailureRate)
+        eject(*view, now);
+}
+
+void learnFirstToken(endpoint_view& view, double seconds, double predictedSeconds)
+{
+    const double predictedQueue = std::max(0.0, predictedSeconds - view.firstTokenSeconds);
+    learn(view.firstTokenSeconds, std::max(shortestFirstTokenSeconds, seconds - predictedQueue));
+}
+
+endpoint_view* findView(router_state& state, const Common::endpoint_id& id)
+{
+    const auto found = std::lower_bound(state.views.begin(), state.views.end(), id,
+        [](const endpoint_view& view, const Common::endpoint_id& wanted) { return view.info.id < wanted; });
+    return found != state.views.end() && found->info.id == id ? &*found : nullptr;
+}
+
+uint32_t predictFreeSlots(const router_state& state, const std::string& service)
+{
+    const auto found = state.byService.find(service);
+    if (found == state.byService.end())
+        return 0;
+    double freeSlots = 0;
+    for (const uint32_t index : found->second) {
+        const endpoint_view& view = state.views[index];
+        freeSlots += std::max(0.0, view.info.slots - occupied(view));
+    }
+    return static_cast<uint32_t>(freeSlots);
+}
+
+} // namespace Routing
--- /dev/null
+++ b/Source/Filbertreeld/Main.cpp
@@ -0,0 +1,60 @@
+/// @file
+/// The node daemon: starts one entry node and leaves in order on SIGTERM, SIGINT or the cloud's notice.
+
+#include "Filbertreeld/Node.h"
+
+#include <csignal>
+#include <ctime>
+#include <thread>
+
+namespace {
+
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    // Threads inherit the mask, so that only this thread takes the signals.
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A caller that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+/// @return whether a stop signal arrived within the poll interval.
+bool waitForStopSignal(const sigset_t& signals)
+{
+    constexpr long pollNanoseconds = 100000000;
+    const timespec interval { 0, pollNanoseconds };
+    return sigtimedwait(&signals, nullptr, &interval) > 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto settings = Filbertreeld::parseSettings(argc, argv);
+    if (!settings)
+        return settings.error().code;
+    const sigset_t signals = blockStopSignals();
+    Common::startLogging(settings->node.value, settings->logLevel);
+    Filbertreeld::node node(*settings);
+    node.start();
+    while (!node.shouldLeave() && !waitForStopSignal(signals)) { }
+    if (!node.hasFailed()) {
+        std::atomic<bool> hasLeft { false };
+        std::thread leaving([&node, &hasLeft] {
+            node.leave();
+            hasLeft = true;
+        });
+        // A second signal only hastens the handover: it cuts nothing.
+        while (!hasLeft) {
+            if (waitForStopSignal(signals))
+                node.hasten();
+        }
+        leaving.join();
+    }
+    node.stop();
+    return node.hasFailed() ? Filbertreeld::exitFailedToStart : Filbertreeld::exitOk;
+}
--- /dev/null
+++ b/Tests/StandIns/StandIns.h
@@ -0,0 +1,36 @@
+#pragma once
+
+/// @file
+/// Small stand-ins for the platform, the model engines and the plain services, each run as a process.
+/// All take faults at run time by POST /control with a JSON object, and show counters at GET /control.
+
+#include "Http/Server.h"
+
+#include <string>
+
+namespace StandIns {
+
+struct stand_in_settings {
+    Http::server_settings http;
+    std::string name;
+    uint32_t slots { 8 };
+    int64_t prefillMilliseconds { 20 };
+    int64_t tokenMilliseconds { 10 };
+    uint32_t defaultTokens { 64 };
+};
+
+/// Serves the table service until the process ends.
+void runTable(const stand_in_settings& settings);
+/// Serves the cloud's API until the process ends.
+void runCloud(const stand_in_settings& settings);
+/// Serves a model engine until the process ends.
+void runEngine(const stand_in_settings& settings);
+/// Serves a plain service until the process ends.
+void runService(const stand_in_settings& settings);
+
+/// @param prompt the texts of all messages, joined.
+/// @param position counts from zero.
+/// @return the token that every engine gives there.
+std::string tokenOf(const std::string& prompt, uint64_t position);
+
+} // namespace StandIns
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Installs, builds and passes the tests. Tests listed in KNOWN-RED.txt are run and printed apart.
+set -eu
+cd "$(dirname "$0")/.."
+scripts/build.sh
+red=""
+if [ -f KNOWN-RED.txt ]; then
+  red=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|' -)
+fi
+if [ -n "$red" ]; then
+  echo "known red, passed over:"
+  cat KNOWN-RED.txt
+  ctest --test-dir build -R "^($red)\$" --output-on-failure || true
+  ctest --test-dir build -E "^($red)\$" --output-on-failure
+else
+  ctest --test-dir build --output-on-failure
+fi
