Promises under failure with real processes: streams, calls, configuration, nodes, input

Causes found: - a proposal refused by the store ended after 10 s as 'unknown' though nothing had been written: the chain wrote again until the deadline.

Ruled out for the first: trusting an unanswered write as not written.

--- a/Source/Core/Configuration/Tests/VersionChainTest.cpp
+++ b/Source/Core/Configuration/Tests/VersionChainTest.cpp
@@ -120,6 +120,20 @@
     CHECK(find<answer_operator>(actions) == nullptr);
 }
 
+TEST(VersionChain, AProposalThatTheStoreRefusedIsAnsweredSoonAndTruly)
+{
+    chain_state state;
+    step(state, makeProposal(1, "mine", "a"));
+    for (uint32_t write = 1; write < maxRefusedWrites; ++write) {
+        CHECK(find<answer_operator>(step(state, write_done { "mine", table_outcome::Unavailable })) == nullptr);
+        CHECK(find<write_change>(step(state, chain_tick {})) != nullptr);
+    }
+    const auto actions = step(state, write_done { "mine", table_outcome::Unavailable });
+    const auto* answer = find<answer_operator>(actions);
+    CHECK(answer != nullptr);
+    CHECK(answer->outcome.error().run == Common::run_state::NotRun);
+}
+
 TEST(VersionChain, OnlyEverMovesUp)
 {
     chain_state state;
--- a/Source/Core/Configuration/VersionChain.cpp
+++ b/Source/Core/Configuration/VersionChain.cpp
@@ -8,6 +8,11 @@
 
     constexpr int comeBackSeconds = 2;
 
+    Common::failure storeUnavailable(Common::run_state run)
+    {
+        return { Common::failure_kind::StoreUnavailable, "configuration", run, comeBackSeconds };
+    }
+
     void publish(chain_state& state, actions& output)
     {
         output.push_back(publish_configuration { std::make_shared<const configuration>(state.current) });
@@ -123,8 +128,11 @@
             break;
         }
         case Platform::table_outcome::Unavailable:
-            // Nothing was written; the tick writes again until the proposal's deadline.
+            // Nothing was written; the tick writes again, a few times.
             state.phase = chain_phase::ReadingBack;
+            pending.refusedWrites += 1;
+            if (pending.refusedWrites >= maxRefusedWrites && !pending.mayBeWritten)
+                answer(state, output, tl::unexpected(storeUnavailable(Common::run_state::NotRun)));
             break;
         case Platform::table_outcome::Unknown:
             pending.mayBeWritten = true;
@@ -200,20 +208,17 @@
         while (!state.waiting.empty() && state.waiting.front().deadline <= now) {
             const bool mayBeWritten = state.waiting.front().mayBeWritten || state.phase == chain_phase::Writing;
             const auto run = mayBeWritten ? Common::run_state::Unknown : Common::run_state::NotRun;
-            const Common::failure late { Common::failure_kind::StoreUnavailable, "configuration", run, comeBackSeconds };
-            answer(state, output, tl::unexpected(late));
+            answer(state, output, tl::unexpected(storeUnavailable(run)));
         }
     }
 
     void handle(chain_state& state, chain_tick&&, Common::instant now, actions& output)
     {
         expire(state, now, output);
-        if (state.phase == chain_phase::ReadingBack && !state.isReading) {
-            if (state.waiting.front().mayBeWritten)
-                readNewer(state, now, output);
-            else
-                state.phase = chain_phase::Idle;
-        }
+        if (state.phase == chain_phase::ReadingBack && state.waiting.front().mayBeWritten)
+            readNewer(state, now, output);
+        else if (state.phase == chain_phase::ReadingBack)
+            state.phase = chain_phase::Idle;
         if (now < state.nextPoll)
             return;
         state.nextPoll = now + (state.isLoaded ? pollInterval : pullInterval);
--- a/Source/Core/Configuration/VersionChain.h
+++ b/Source/Core/Configuration/VersionChain.h
@@ -111,6 +111,7 @@
     proposal request;
     Common::instant deadline;
     bool mayBeWritten { false }; ///< A write was sent whose effect is not known.
+    uint32_t refusedWrites { 0 }; ///< Writes that the store proved not to have taken.
     std::vector<change> seenMeanwhile;
 };
 
@@ -129,6 +130,8 @@
 constexpr std::chrono::seconds pullInterval { 1 };
 constexpr std::chrono::seconds proposalTimeLimit { 10 };
 constexpr std::chrono::seconds readTimeLimit { 5 };
+/// So many refused writes, a tick apart, end a proposal of which nothing was written.
+constexpr uint32_t maxRefusedWrites { 4 };
 constexpr size_t maxWaitingProposals { 64 };
 constexpr size_t maxRecentChanges { 256 };
 
--- a/Source/Core/Dispatch/Messages.h
+++ b/Source/Core/Dispatch/Messages.h
@@ -153,6 +153,7 @@
 struct send_stream_head {
     Common::caller_token token;
     Common::request_id request;
+    uint64_t afterPosition { 0 }; ///< Tokens that the caller already has.
 };
 
 struct send_tokens {
--- a/Source/Core/Dispatch/ModelWork.cpp
+++ b/Source/Core/Dispatch/ModelWork.cpp
@@ -187,7 +187,7 @@
 void beginModelWork(step_context& context, request_entry& request)
 {
     if (request.isStreamed)
-        context.output.push_back(send_stream_head { *request.caller, request.id });
+        context.output.push_back(send_stream_head { *request.caller, request.id, 0 });
     beginAttempt(context, request);
 }
 
@@ -256,7 +256,7 @@
     context.state.byCaller[message.token.value] = &request;
     note(context, "caller_resumed", request, { { "after", message.afterPosition } });
     if (request.isStreamed)
-        context.output.push_back(send_stream_head { message.token, request.id });
+        context.output.push_back(send_stream_head { message.token, request.id, message.afterPosition });
     sendFrom(context, request, message.afterPosition + 1);
     if (request.phase != request_phase::Finished)
         return;
--- a/Source/Core/Dispatch/ServiceCall.cpp
+++ b/Source/Core/Dispatch/ServiceCall.cpp
@@ -207,7 +207,7 @@
     const bool isProvenUnsent = message.end == Http::transfer_end::NotSent;
     note(context, "call_attempt_failed", request, { { "endpoint", endpoint.value }, { "sent", !isProvenUnsent } });
     if (isProvenUnsent) {
-        tryElsewhere(context, request, { failure_kind::EndpointFailed, request.work.name.value, run_state::NotRun, comeBackSeconds });
+        tryElsewhere(context, request, { failure_kind::NoEndpoint, request.work.name.value, run_state::NotRun, comeBackSeconds });
         return;
     }
     const failure unknown { failure_kind::OutcomeUnknown, request.work.name.value, run_state::Unknown, 0 };
--- a/Source/Core/Entry/Answers.cpp
+++ b/Source/Core/Entry/Answers.cpp
@@ -20,6 +20,11 @@
 
 } // namespace
 
+std::string formatStreamHead(const Dispatch::send_stream_head& action)
+{
+    return "id: " + action.request.value + ":" + std::to_string(action.afterPosition) + "\n\n";
+}
+
 std::string formatTokens(const Dispatch::send_tokens& action)
 {
     const std::string prefix = eventPrefix(action.request, action.work);
--- a/Source/Core/Entry/Answers.h
+++ b/Source/Core/Entry/Answers.h
@@ -9,6 +9,10 @@
 
 namespace Entry {
 
+/// @param action the head of a stream.
+/// @return an event without data: its id lets a caller come back even before the first token.
+std::string formatStreamHead(const Dispatch::send_stream_head& action);
+
 /// @param action tokens in order.
 /// @return one event a token; its id names the request and the token's position.
 std::string formatTokens(const Dispatch::send_tokens& action);
--- a/Source/Core/Entry/EntryDuty.cpp
+++ b/Source/Core/Entry/EntryDuty.cpp
@@ -252,8 +252,9 @@
 void entry_duty::perform(Dispatch::send_stream_head& action)
 {
     m_resumeQueries.erase(action.token.value);
-    m_unwritten.try_emplace(action.token.value);
+    m_unwritten[action.token.value].sizes.push_back(0);
     m_server.beginStream(action.token, statusOk, { { "Content-Type", "text/event-stream" }, { "Cache-Control", "no-store" }, { "X-Request-Id", action.request.value } });
+    m_server.writeChunk(action.token, formatStreamHead(action));
 }
 
 void entry_duty::perform(Dispatch::send_tokens& action)
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -119,6 +119,9 @@
         transfer_answer answer;
         answer.end = classify(handle, code);
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &answer.status);
+        const char* redirectUrl = nullptr;
+        curl_easy_getinfo(handle, CURLINFO_REDIRECT_URL, &redirectUrl);
+        answer.redirectUrl = redirectUrl ? redirectUrl : "";
         const std::unique_ptr<transfer> taken = take(item->id);
         answer.body = std::move(taken->body);
         taken->onEnd(std::move(answer));
--- a/Source/Filbertreel/Print.cpp
+++ b/Source/Filbertreel/Print.cpp
@@ -40,6 +40,7 @@
     printRow(columns, widths);
     for (const ordered_json& row : rows) {
         std::vector<std::string> cells;
+        cells.reserve(columns.size());
         for (const std::string& column : columns)
             cells.push_back(cellText(row, column));
         printRow(cells, widths);
--- /dev/null
+++ b/Tests/Promises/InputTest.cpp
@@ -0,0 +1,82 @@
+/// @file
+/// Bad input gets a typed answer, and the node goes on.
+
+#include "Harness/Callers.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace Harness;
+
+cluster_settings makeSettings()
+{
+    cluster_settings settings;
+    settings.basePort = 27000;
+    settings.nodes = 1;
+    settings.engines = 1;
+    settings.nodeOptions = { "--max-body-bytes", "4096" };
+    return settings;
+}
+
+} // namespace
+
+TEST_GROUP(Input)
+{
+    cluster target { makeSettings() };
+
+    void setup() override { target.start(); }
+};
+
+TEST(Input, EachMistakeHasItsCode)
+{
+    struct row {
+        const char* method;
+        const char* path;
+        std::string body;
+        bool hasKey;
+        int status;
+        const char* code;
+    };
+    const std::string good = R"({"model":"inspection-summary","max_tokens":2,"messages":[{"role":"user","content":"x"}]})";
+    const row rows[] = {
+        { "POST", "/v1/chat/completions", good, true, 200, "" },
+        { "POST", "/v1/chat/completions", good, false, 401, "unauthorized" },
+        { "POST", "/v1/chat/completions", "{\"model\":", true, 400, "malformed_request" },
+        { "POST", "/v1/chat/completions", "[]", true, 400, "malformed_request" },
+        { "POST", "/v1/chat/completions", R"({"model":"inspection-summary","messages":[]})", true, 400, "malformed_request" },
+        { "POST", "/v1/chat/completions", R"({"model":"inspection-summary","messages":[{"role":7}]})", true, 400, "malformed_request" },
+        { "POST", "/v1/chat/completions", R"({"model":"other","messages":[{"role":"user","content":"x"}]})", true, 404, "unknown_class" },
+        { "POST", "/v1/services/crate-release/releases", "{}", true, 400, "missing_idempotency_key" },
+        { "POST", "/v1/services/unknown/x", "{}", true, 404, "unknown_class" },
+        { "POST", "/v1/services/stock-lookup/items", "{}", true, 200, "" },
+        { "GET", "/v1/requests/node-1.1.999", "", true, 404, "unknown_request" },
+        { "GET", "/nowhere", "", true, 404, "unknown_path" },
+        { "POST", "/operator/v1/changes", "{}", true, 401, "unauthorized" },
+    };
+    for (const row& item : rows) {
+        std::vector<Http::header> headers;
+        if (item.hasKey)
+            headers.push_back({ "Authorization", "Bearer " + target.accountKey() });
+        const http_answer answer = call(item.method, target.nodeUrl(1) + item.path, item.body, headers);
+        LONGS_EQUAL(item.status, answer.status);
+        const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+        const std::string code = body.is_object() && body.contains("error") ? body["error"].value("code", "") : "";
+        STRCMP_EQUAL(item.code, code.c_str());
+    }
+}
+
+TEST(Input, AnOversizedBodyIsCutOffAndTheNodeGoesOn)
+{
+    const std::string body(100000, 'x');
+    const http_answer answer = call("POST", target.nodeUrl(1) + "/v1/chat/completions", body, { { "Authorization", "Bearer " + target.accountKey() } });
+    CHECK(answer.status != 200);
+    LONGS_EQUAL(200, call("GET", target.nodeUrl(1) + "/healthz", "").status);
+}
+
+TEST(Input, AProposalWithMistakesNamesThemAll)
+{
+    const http_answer answer = target.propose(1, { { "kind", "class" }, { "body", { { "name", "" }, { "priority", 99 } } } });
+    LONGS_EQUAL(400, answer.status);
+    LONGS_EQUAL(3, nlohmann::json::parse(answer.body)["mistakes"].size());
+}
--- a/Tests/StandIns/Engine.cpp
+++ b/Tests/StandIns/Engine.cpp
@@ -3,8 +3,6 @@
 
 #include "StandIns/StandIns.h"
 
-#include "Common/Hash.h"
-
 #include <algorithm>
 #include <deque>
 #include <list>
@@ -20,7 +18,6 @@
 
     constexpr int statusOk = 200;
     constexpr size_t prefixCacheEntries = 64;
-    constexpr uint64_t tokenSpace = 65536;
     constexpr std::chrono::milliseconds reportLag { 300 };
 
     struct engine_stream_entry {
@@ -191,11 +188,6 @@
 
 } // namespace
 
-std::string tokenOf(const std::string& prompt, uint64_t position)
-{
-    return "w" + std::to_string(Common::hash64(prompt, position) % tokenSpace) + " ";
-}
-
 void runEngine(const stand_in_settings& settings)
 {
     engine_stand_in engine;
--- /dev/null
+++ b/Tests/StandIns/Tokens.cpp
@@ -0,0 +1,16 @@
+/// @file
+/// The tokens that every engine stand-in gives.
+
+#include "StandIns/StandIns.h"
+
+#include "Common/Hash.h"
+
+namespace StandIns {
+
+std::string tokenOf(const std::string& prompt, uint64_t position)
+{
+    constexpr uint64_t tokenSpace = 65536;
+    return "w" + std::to_string(Common::hash64(prompt, position) % tokenSpace) + " ";
+}
+
+} // namespace StandIns
