--- /dev/null
+++ b/Benchmarks/CapacityCluster.cpp
@@ -0,0 +1,134 @@
+/// @file
+/// Runs growing numbers of idle nodes on loopback and reads from their own counters what control costs each:
+/// processor time, memory and bytes to peers, to the cloud, to engines and to the table service.
+
+#include "Harness/Cluster.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace {
+
+using namespace Harness;
+
+struct node_sample {
+    double cpuSeconds { 0 };
+    double residentBytes { 0 };
+    double peerBytes { 0 };
+    double peerMessages { 0 };
+    double cloudBytes { 0 };
+    double loadBytes { 0 };
+    double tableBytes { 0 };
+    double tableReads { 0 };
+    double tableWrites { 0 };
+    double members { 0 };
+};
+
+double readMetric(const std::string& page, const std::string& name)
+{
+    std::istringstream lines(page);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.starts_with(name + " "))
+            return std::strtod(line.c_str() + name.size() + 1, nullptr);
+    }
+    return 0;
+}
+
+node_sample sampleNode(const cluster& target, int number)
+{
+    const std::string page = call("GET", target.nodeUrl(number) + "/metrics", "").body;
+    node_sample sample;
+    sample.cpuSeconds = readMetric(page, "process_cpu_seconds_total");
+    sample.residentBytes = readMetric(page, "process_resident_memory_bytes");
+    sample.peerBytes = readMetric(page, "filbertreel_peer_bytes_sent_total") + readMetric(page, "filbertreel_peer_bytes_received_total");
+    sample.peerMessages = readMetric(page, "filbertreel_peer_messages_sent_total");
+    sample.cloudBytes = readMetric(page, "filbertreel_control_bytes_total{peer=\"cloud\"}");
+    sample.loadBytes = readMetric(page, "filbertreel_control_bytes_total{peer=\"load\"}");
+    sample.tableBytes = readMetric(page, "filbertreel_control_bytes_total{peer=\"table\"}");
+    sample.tableReads = readMetric(page, "filbertreel_table_reads_total");
+    sample.tableWrites = readMetric(page, "filbertreel_table_writes_total");
+    sample.members = readMetric(page, "filbertreel_members_known");
+    return sample;
+}
+
+double median(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+/// How long a change takes until every node shows it.
+double measureChange(const cluster& target)
+{
+    const int64_t version = target.configurationVersion(1) + 1;
+    const auto begun = std::chrono::steady_clock::now();
+    target.propose(1, { { "kind", "class" }, { "body", { { "name", "probe" }, { "service", "m" } } } });
+    constexpr int longest = 60000;
+    const bool isEverywhere = target.waitForVersion(version, longest);
+    const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+    return isEverywhere ? seconds : -1;
+}
+
+void measure(int nodes, int engines, int seconds)
+{
+    cluster_settings settings;
+    settings.basePort = 28000;
+    settings.nodes = nodes;
+    settings.engines = engines;
+    settings.ledgers = 3;
+    cluster target(settings);
+    target.start();
+    std::this_thread::sleep_for(std::chrono::seconds(8));
+    std::vector<node_sample> before;
+    for (int number = 1; number <= nodes; ++number)
+        before.push_back(sampleNode(target, number));
+    const auto begun = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(std::chrono::seconds(seconds));
+    std::vector<node_sample> after;
+    for (int number = 1; number <= nodes; ++number)
+        after.push_back(sampleNode(target, number));
+    const double elapsed = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+    const auto rate = [&](double node_sample::*member) {
+        std::vector<double> rates;
+        for (int index = 0; index < nodes; ++index)
+            rates.push_back((after[index].*member - before[index].*member) / elapsed);
+        return median(rates);
+    };
+    std::vector<double> resident;
+    std::vector<double> members;
+    for (const node_sample& sample : after) {
+        resident.push_back(sample.residentBytes);
+        members.push_back(sample.members);
+    }
+    nlohmann::ordered_json line {
+        { "nodes", nodes },
+        { "engines", engines },
+        { "members_known_least", *std::min_element(members.begin(), members.end()) },
+        { "cpu_percent_of_core", 100 * rate(&node_sample::cpuSeconds) },
+        { "resident_mb", median(resident) / 1e6 },
+        { "peer_bytes_per_s", rate(&node_sample::peerBytes) },
+        { "peer_messages_sent_per_s", rate(&node_sample::peerMessages) },
+        { "load_bytes_per_s", rate(&node_sample::loadBytes) },
+        { "cloud_bytes_per_s", rate(&node_sample::cloudBytes) },
+        { "table_bytes_per_s", rate(&node_sample::tableBytes) },
+        { "table_reads_per_s", rate(&node_sample::tableReads) },
+        { "table_writes_per_s", rate(&node_sample::tableWrites) },
+    };
+    line["change_everywhere_s"] = measureChange(target);
+    std::cout << line.dump() << std::endl;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const int seconds = argc > 1 ? std::atoi(argv[1]) : 15;
+    for (int index = 2; index + 1 < argc; index += 2)
+        measure(std::atoi(argv[index]), std::atoi(argv[index + 1]), seconds);
+    return 0;
+}
--- a/Source/Core/Configuration/Tests/VersionChainTest.cpp
+++ b/Source/Core/Configuration/Tests/VersionChainTest.cpp
@@ -120,6 +120,37 @@
     CHECK(find<answer_operator>(actions) == nullptr);
 }
 
+TEST(VersionChain, ARowReadBeforeTheReplyOfItsWriteIsNotWrittenAgain)
+{
+    chain_state state;
+    step(state, makeProposal(1, "mine", "a"));
+    const auto read = step(state, rows_read { table_outcome::Done, { makeChange(1, "mine", "a") } });
+    CHECK(find<answer_operator>(read) != nullptr);
+    const auto late = step(state, write_done { "mine", table_outcome::Done });
+    CHECK(find<write_change>(late) == nullptr);
+    CHECK(find<answer_operator>(late) == nullptr);
+    LONGS_EQUAL(1, state.current.version.value);
+}
+
+TEST(VersionChain, AProposalDecidedOnAnOldVersionIsComparedWithWhatThisNodeAlreadyApplied)
+{
+    struct row {
+        uint64_t seen;
+        const char* subject;
+        bool isConflict;
+    };
+    const row rows[] = { { 1, "a", true }, { 1, "b", false }, { 2, "a", false }, { 0, "a", false } };
+    for (const row& item : rows) {
+        chain_state state;
+        step(state, rows_read { table_outcome::Done, { makeChange(1, "t1", "x"), makeChange(2, "t2", "a") } });
+        proposal late = makeProposal(1, "mine", item.subject);
+        late.seenVersion = { item.seen };
+        const auto actions = step(state, std::move(late));
+        CHECK_EQUAL(item.isConflict, find<answer_operator>(actions) != nullptr);
+        CHECK_EQUAL(!item.isConflict, find<write_change>(actions) != nullptr);
+    }
+}
+
 TEST(VersionChain, AProposalThatTheStoreRefusedIsAnsweredSoonAndTruly)
 {
     chain_state state;
--- a/Source/Core/Configuration/VersionChain.cpp
+++ b/Source/Core/Configuration/VersionChain.cpp
@@ -1,5 +1,7 @@
 #include "Configuration/VersionChain.h"
 
+#include <algorithm>
+
 namespace Configuration {
 
 namespace {
@@ -26,8 +28,44 @@
         output.push_back(answer_operator { done.request.operatorToken, std::move(outcome), std::move(done.seenMeanwhile) });
     }
 
+    bool touchesSameObject(const change& left, const change& right)
+    {
+        return left.kind == right.kind && left.subject == right.subject;
+    }
+
+    bool isOvertaken(const pending_proposal& pending)
+    {
+        return std::any_of(pending.seenMeanwhile.begin(), pending.seenMeanwhile.end(),
+            [&pending](const change& item) { return touchesSameObject(item, pending.request.item); });
+    }
+
+    void answerConflict(chain_state& state, actions& output)
+    {
+        const std::string subject = state.waiting.front().request.item.subject;
+        const Common::failure conflict { Common::failure_kind::ConfigurationConflict, subject, Common::run_state::NotRun, 0 };
+        answer(state, output, tl::unexpected(conflict));
+    }
+
+    /// What others changed between the version that the operator decided on and the present one.
+    /// @return false when this node no longer knows all of it.
+    bool gatherSeenMeanwhile(const chain_state& state, pending_proposal& pending)
+    {
+        const uint64_t seen = pending.request.seenVersion.value;
+        if (seen >= state.current.version.value)
+            return true;
+        if (state.recent.empty() || state.recent.front().version.value > seen + 1)
+            return false;
+        for (const change& item : state.recent) {
+            if (item.version.value > seen)
+                pending.seenMeanwhile.push_back(item);
+        }
+        return true;
+    }
+
     void beginNext(chain_state& state, actions& output)
     {
+        while (state.phase == chain_phase::Idle && !state.waiting.empty() && isOvertaken(state.waiting.front()))
+            answerConflict(state, output);
         if (state.phase != chain_phase::Idle || state.waiting.empty())
             return;
         change& item = state.waiting.front().request.item;
@@ -45,11 +83,6 @@
         output.push_back(read_changes { state.current.version });
     }
 
-    bool touchesSameObject(const change& left, const change& right)
-    {
-        return left.kind == right.kind && left.subject == right.subject;
-    }
-
     /// Applies what follows on the present version; drops what is old or after a gap.
     std::vector<change> applyFollowing(chain_state& state, std::vector<change>&& changes)
     {
@@ -72,20 +105,20 @@
     /// After the chain has grown under a proposal in flight: won, lost to another author, or to be tried again.
     void settleInFlight(chain_state& state, const std::vector<change>& applied, actions& output)
     {
-        if (state.phase != chain_phase::ReadingBack || state.waiting.empty())
+        if (state.phase == chain_phase::Idle || state.waiting.empty())
             return;
         pending_proposal& pending = state.waiting.front();
+        // Our row may be read, or pushed by a peer, before the reply of its write arrives.
         for (const change& item : applied) {
             if (item.token == pending.request.item.token) {
                 answer(state, output, item);
                 return;
             }
         }
-        for (const change& item : pending.seenMeanwhile) {
-            if (!touchesSameObject(item, pending.request.item))
-                continue;
-            const Common::failure conflict { Common::failure_kind::ConfigurationConflict, item.subject, Common::run_state::NotRun, 0 };
-            answer(state, output, tl::unexpected(conflict));
+        if (state.phase != chain_phase::ReadingBack)
+            return;
+        if (isOvertaken(pending)) {
+            answerConflict(state, output);
             return;
         }
         state.phase = chain_phase::Idle;
@@ -111,8 +144,15 @@
         }
         if (message.seenVersion.value == 0)
             message.seenVersion = state.current.version;
-        state.waiting.push_back({ std::move(message), now + proposalTimeLimit, false, {} });
-        beginNext(state, output);
+        pending_proposal pending { std::move(message), now + proposalTimeLimit, false, 0, {} };
+        const bool isKnown = gatherSeenMeanwhile(state, pending);
+        if (!isKnown) {
+            // The operator decided on a version too old to compare with: it has to be looked at again.
+            const Common::failure stale { Common::failure_kind::ConfigurationConflict, pending.request.item.subject, Common::run_state::NotRun, 0 };
+            output.push_back(answer_operator { pending.request.operatorToken, tl::unexpected(stale), {} });
+            return;
+        }
+        state.waiting.push_back(std::move(pending));
     }
 
     void handle(chain_state& state, write_done&& message, Common::instant now, actions& output)
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -250,11 +250,11 @@
     const Routing::endpoint_view& view = state.router.views[choice->index];
     attempt_info attempt;
     attempt.number = { ++state.lastAttempt };
-    attempt.endpoint = view.info.id;
+    attempt.endpoint = view.info->id;
     attempt.begunAt = context.clock.now;
     attempt.lastProgress = context.clock.now;
     attempt.predictedFirstTokenSeconds = choice->predictedFirstTokenSeconds;
-    note(context, "attempt_begun", request, { { "endpoint", view.info.id.value }, { "zone", view.info.zone.value }, { "version", view.info.version.value }, { "attempt", attempt.number.value }, { "predicted_first_token_s", choice->predictedFirstTokenSeconds }, { "predicted_cost_micro", choice->predictedCostMicro } });
+    note(context, "attempt_begun", request, { { "endpoint", view.info->id.value }, { "zone", view.info->zone.value }, { "version", view.info->version.value }, { "attempt", attempt.number.value }, { "predicted_first_token_s", choice->predictedFirstTokenSeconds }, { "predicted_cost_micro", choice->predictedCostMicro } });
     request.attempt = attempt;
     request.attemptsBegun += 1;
     request.phase = request_phase::Running;
--- a/Source/Core/Dispatch/ModelWork.cpp
+++ b/Source/Core/Dispatch/ModelWork.cpp
@@ -61,7 +61,7 @@
         start_attempt action;
         action.attempt = request.attempt->number;
         action.endpoint = request.attempt->endpoint;
-        action.address = view->info.address;
+        action.address = view->info->address;
         action.path = "/v1/chat/completions";
         action.body = encodeEngineBody(request);
         action.timeLimit = context.state.settings.longestRequest;
--- a/Source/Core/Dispatch/ServiceCall.cpp
+++ b/Source/Core/Dispatch/ServiceCall.cpp
@@ -94,7 +94,7 @@
         start_attempt action;
         action.attempt = request.attempt->number;
         action.endpoint = request.attempt->endpoint;
-        action.address = view->info.address;
+        action.address = view->info->address;
         action.path = request.path;
         action.body = request.rawBody;
         action.idempotencyKey = request.idempotencyKey;
--- a/Source/Core/Endpoints/CloudCodec.cpp
+++ b/Source/Core/Endpoints/CloudCodec.cpp
@@ -10,6 +10,37 @@
 
     using nlohmann::json;
 
+    std::string_view nameOf(instance_role role)
+    {
+        switch (role) {
+        case instance_role::Engine:
+            return "engine";
+        case instance_role::Service:
+            return "service";
+        case instance_role::Entry:
+            return "entry";
+        }
+        return "engine";
+    }
+
+    json encodeInstance(const instance_info& info)
+    {
+        return {
+            { "id", info.id.value },
+            { "role", nameOf(info.role) },
+            { "service", info.service },
+            { "version", info.version.value },
+            { "address", info.address },
+            { "peer_address", info.peerAddress },
+            { "zone", info.zone.value },
+            { "region", info.region.value },
+            { "price_per_hour_micro", info.pricePerHour.value },
+            { "slots", info.slots },
+            { "reclaimable", info.isReclaimable },
+            { "state", info.isLeaving ? "leaving" : "running" },
+        };
+    }
+
     std::optional<instance_role> parseRole(const std::string& name)
     {
         if (name == "engine")
@@ -66,6 +97,14 @@
     return instances;
 }
 
+std::string encodeInstances(const std::vector<instance_info>& instances)
+{
+    json list = json::array();
+    for (const instance_info& info : instances)
+        list.push_back(encodeInstance(info));
+    return json { { "instances", list } }.dump();
+}
+
 Common::result<load_report> parseLoad(const Common::endpoint_id& id, const std::string& body)
 {
     const json parsed = json::parse(body, nullptr, false);
--- a/Source/Core/Endpoints/CloudCodec.h
+++ b/Source/Core/Endpoints/CloudCodec.h
@@ -15,6 +15,10 @@
 /// @return the instances; entries that can't be read are left out.
 Common::result<std::vector<instance_info>> parseInstances(const std::string& body);
 
+/// @param instances some instances.
+/// @return them in the form that parseInstances reads.
+std::string encodeInstances(const std::vector<instance_info>& instances);
+
 /// @param id the endpoint that was asked.
 /// @param body its answer.
 /// @return its load.
--- a/Source/Core/Endpoints/EndpointTable.cpp
+++ b/Source/Core/Endpoints/EndpointTable.cpp
@@ -1,11 +1,37 @@
 #include "Endpoints/EndpointTable.h"
 
+#include <algorithm>
+
 namespace Endpoints {
 
 namespace {
 
     using actions = std::vector<table_action>;
 
+    /// While the fleet is small every node routes to all of it, and nodes of all regions share the polling.
+    bool isSmallFleet(const endpoint_table& table)
+    {
+        return table.entries.size() <= subsetSize;
+    }
+
+    size_t countInRegion(const endpoint_table& table, const Common::region_name& region)
+    {
+        size_t count = 0;
+        for (const auto& [id, entry] : table.entries)
+            count += entry.info.region == region ? 1 : 0;
+        return count;
+    }
+
+    bool usesEndpoint(const endpoint_table& table, const poller& node, const Common::endpoint_id& id)
+    {
+        if (isSmallFleet(table))
+            return true;
+        const auto found = table.entries.find(id);
+        if (found == table.entries.end() || found->second.info.region != node.region)
+            return false;
+        return isInSubset(node.id, id, countInRegion(table, node.region));
+    }
+
     /// @return whether the mark is new.
     bool markLeaving(endpoint_table& table, const Common::endpoint_id& id, Common::instant now)
     {
@@ -23,6 +49,7 @@
     {
         std::map<Common::endpoint_id, endpoint_entry> next;
         std::vector<instance_info> entryInstances;
+        std::vector<instance_info> fresh;
         for (instance_info& info : message.instances) {
             if (info.role == instance_role::Entry) {
                 entryInstances.push_back(std::move(info));
@@ -33,12 +60,21 @@
             if (found != table.entries.end())
                 entry = found->second;
             // The list lags: it may mark an endpoint as leaving, but never takes such a mark back.
-            if (info.isLeaving)
-                markLeaving(table, info.id, now);
+            else if (table.isListed)
+                fresh.push_back(info);
+            if (info.isLeaving && markLeaving(table, info.id, now))
+                output.push_back(tell_peers_leaving { info.id });
             entry.info = std::move(info);
             next.emplace(entry.info.id, std::move(entry));
         }
+        for (auto& [id, entry] : table.entries) {
+            if (entry.keptUntil > now)
+                next.try_emplace(id, std::move(entry));
+        }
         table.entries = std::move(next);
+        table.isListed = true;
+        if (!fresh.empty())
+            output.push_back(tell_peers_instances { std::move(fresh) });
         forgetOldMarks(table, now);
         output.push_back(publish_endpoints { listUsable(table, now) });
         output.push_back(publish_entries { std::move(entryInstances) });
@@ -50,9 +86,41 @@
             output.push_back(tell_peers_leaving { message.report.id });
             output.push_back(publish_endpoints { listUsable(table, now) });
         }
+        for (const poller& node : table.pollers) {
+            const bool isUser = node.id != table.self.id && usesEndpoint(table, node, message.report.id);
+            if (isUser)
+                output.push_back(tell_peer_load { node.id, message.report });
+        }
+        output.push_back(publish_load { std::move(message.report) });
+    }
+
+    void handle(endpoint_table& table, instances_heard&& message, Common::instant now, actions& output)
+    {
+        std::vector<instance_info> fresh;
+        for (instance_info& info : message.instances) {
+            if (info.role == instance_role::Entry || table.entries.contains(info.id))
+                continue;
+            fresh.push_back(info);
+            endpoint_entry& entry = table.entries[info.id];
+            entry.info = std::move(info);
+            entry.keptUntil = now + listLagAllowance;
+        }
+        if (fresh.empty())
+            return;
+        output.push_back(tell_peers_instances { std::move(fresh) });
+        output.push_back(publish_endpoints { listUsable(table, now) });
+    }
+
+    void handle(endpoint_table&, load_heard&& message, Common::instant, actions& output)
+    {
         output.push_back(publish_load { std::move(message.report) });
     }
 
+    void handle(endpoint_table& table, pollers_known&& message, Common::instant, actions&)
+    {
+        table.pollers = std::move(message.pollers);
+    }
+
     void handle(endpoint_table& table, leaving_notice&& message, Common::instant now, actions& output)
     {
         if (message.source == leaving_source::RefusedConnection) {
@@ -78,11 +146,34 @@
     return output;
 }
 
+std::vector<instance_info> listPolledHere(const endpoint_table& table)
+{
+    std::vector<instance_info> polled;
+    for (const auto& [id, entry] : table.entries) {
+        const auto region = isSmallFleet(table) ? std::nullopt : std::optional(entry.info.region);
+        const Common::node_id owner = choosePoller(table.pollers, region, id);
+        if (owner.value.empty() || owner == table.self.id)
+            polled.push_back(entry.info);
+    }
+    return polled;
+}
+
+size_t countListReaders(const endpoint_table& table)
+{
+    size_t readers = 0;
+    for (const poller& node : table.pollers)
+        readers += node.region == table.self.region ? 1 : 0;
+    return std::max<size_t>(readers, 1);
+}
+
 endpoint_list listUsable(const endpoint_table& table, Common::instant now)
 {
     auto usable = std::make_shared<std::vector<instance_info>>();
+    const size_t inRegion = countInRegion(table, table.self.region);
+    const bool takesAll = isSmallFleet(table);
     for (const auto& [id, entry] : table.entries) {
-        if (!table.leaving.contains(id) && entry.unreachableUntil <= now)
+        const bool isOurs = takesAll || (entry.info.region == table.self.region && isInSubset(table.self.id, id, inRegion));
+        if (isOurs && !table.leaving.contains(id) && entry.unreachableUntil <= now)
             usable->push_back(entry.info);
     }
     return usable;
--- a/Source/Core/Endpoints/EndpointsDuty.cpp
+++ b/Source/Core/Endpoints/EndpointsDuty.cpp
@@ -25,21 +25,22 @@
     , m_outlets(std::move(outlets))
     , m_inbox(m_settings.ringCapacity)
 {
+    m_table.self = m_settings.self;
     m_inbox.setWaker([this] { m_client.wake(); });
 }
 
-bool endpoints_duty::submit(leaving_notice&& notice)
+bool endpoints_duty::submit(table_message&& message)
 {
-    return m_inbox.push(notice);
+    return m_inbox.push(message);
 }
 
 void endpoints_duty::run()
 {
-    std::vector<leaving_notice> batch;
+    std::vector<table_message> batch;
     while (!m_isStopping) {
         m_inbox.drainInto(batch);
-        for (leaving_notice& notice : batch)
-            dispatch(std::move(notice));
+        for (table_message& message : batch)
+            dispatch(std::move(message));
         pollDue(std::chrono::steady_clock::now());
         m_client.poll(longestWait);
     }
@@ -54,14 +55,16 @@
 void endpoints_duty::pollDue(Common::instant now)
 {
     if (now >= m_nextList && !m_isListing) {
-        m_nextList = now + m_settings.listInterval;
+        // The nodes of a region take turns: what one finds new or leaving it tells the others.
+        m_nextList = now + m_settings.listInterval * countListReaders(m_table);
         pollList();
     }
     if (now < m_nextLoad)
         return;
     m_nextLoad = now + m_settings.loadInterval;
-    for (const auto& [id, entry] : m_table.entries)
-        pollLoad(entry.info);
+    flushPeerLoads();
+    for (const instance_info& info : listPolledHere(m_table))
+        pollLoad(info);
     // An unreachable endpoint becomes usable again by the passing of time alone.
     perform(publish_endpoints { listUsable(m_table, now) });
 }
@@ -74,6 +77,7 @@
     request.timeLimit = listTimeLimit;
     m_client.start(std::move(request), [this](Http::transfer_answer&& answer) {
         m_isListing = false;
+        Common::countMetric("filbertreel_control_bytes_total{peer=\"cloud\"}", answer.wireBytes);
         if (!isAnswered(answer)) {
             Common::countMetric("filbertreel_cloud_list_failures_total");
             return;
@@ -93,6 +97,7 @@
     request.timeLimit = loadTimeLimit;
     m_client.start(std::move(request), [this, id = info.id](Http::transfer_answer&& answer) {
         m_polling.erase(id);
+        Common::countMetric("filbertreel_control_bytes_total{peer=\"load\"}", answer.wireBytes);
         if (!isAnswered(answer))
             return;
         auto report = parseLoad(id, answer.body);
@@ -125,6 +130,23 @@
     m_outlets.tellPeersLeaving(action.id);
 }
 
+void endpoints_duty::perform(const tell_peers_instances& action)
+{
+    m_outlets.tellPeersInstances(action.instances);
+}
+
+void endpoints_duty::perform(const tell_peer_load& action)
+{
+    m_loadsForPeers[action.node].push_back(action.report);
+}
+
+void endpoints_duty::flushPeerLoads()
+{
+    for (const auto& [node, reports] : m_loadsForPeers)
+        m_outlets.tellPeerLoads(node, reports);
+    m_loadsForPeers.clear();
+}
+
 void endpoints_duty::perform(const publish_entries& action)
 {
     m_outlets.publishEntries(action.entries);
--- a/Source/Core/Endpoints/EndpointsDuty.h
+++ b/Source/Core/Endpoints/EndpointsDuty.h
@@ -15,6 +15,7 @@
 
 struct endpoints_settings {
     std::string cloudUrl;
+    poller self;
     std::chrono::milliseconds listInterval { 1000 };
     std::chrono::milliseconds loadInterval { 500 };
     size_t ringCapacity { 4096 };
@@ -25,6 +26,9 @@
     std::function<void(endpoint_list)> publishEndpoints;
     std::function<void(const load_report&)> publishLoad;
     std::function<void(const Common::endpoint_id&)> tellPeersLeaving;
+    std::function<void(const std::vector<instance_info>&)> tellPeersInstances;
+    /// Reports of one round for one node.
+    std::function<void(const Common::node_id&, const std::vector<load_report>&)> tellPeerLoads;
     std::function<void(const std::vector<instance_info>&)> publishEntries;
 };
 
@@ -32,9 +36,9 @@
 public:
     endpoints_duty(endpoints_settings settings, endpoints_outlets outlets);
 
-    /// Hands a notice over; may be called from any thread.
+    /// Hands a message over; may be called from any thread.
     /// @return whether the ring took it.
-    bool submit(leaving_notice&& notice);
+    bool submit(table_message&& message);
     /// Serves until stop().
     void run();
     void stop();
@@ -47,13 +51,17 @@
     void perform(const publish_endpoints& action);
     void perform(const publish_load& action);
     void perform(const tell_peers_leaving& action);
+    void perform(const tell_peers_instances& action);
+    void perform(const tell_peer_load& action);
     void perform(const publish_entries& action);
+    void flushPeerLoads();
 
     endpoints_settings m_settings;
     endpoints_outlets m_outlets;
-    Common::ring<leaving_notice> m_inbox;
+    Common::ring<table_message> m_inbox;
     Http::client m_client;
     endpoint_table m_table;
+    std::map<Common::node_id, std::vector<load_report>> m_loadsForPeers; ///< Gathered until the next round.
     std::set<Common::endpoint_id> m_polling;
     bool m_isListing { false };
     Common::instant m_nextList;
--- a/Source/Core/Endpoints/Tests/EndpointTableTest.cpp
+++ b/Source/Core/Endpoints/Tests/EndpointTableTest.cpp
@@ -74,6 +74,57 @@
     LONGS_EQUAL(0, stepEndpoints(table, leaving_notice { { "a" }, leaving_source::Peer }, testStart).size());
 }
 
+TEST(EndpointTable, ANewInstanceIsPassedOnAndSurvivesOnesOwnLaggingList)
+{
+    endpoint_table table;
+    stepEndpoints(table, listOf({ makeInstance("a") }), testStart);
+    const auto first = stepEndpoints(table, instances_heard { { makeInstance("b") } }, testStart);
+    CHECK(std::holds_alternative<tell_peers_instances>(first.front()));
+    LONGS_EQUAL(0, stepEndpoints(table, instances_heard { { makeInstance("b") } }, testStart).size());
+    stepEndpoints(table, listOf({ makeInstance("a") }), testStart);
+    LONGS_EQUAL(2, listUsable(table, testStart)->size());
+    stepEndpoints(table, listOf({ makeInstance("a") }), testStart + listLagAllowance);
+    LONGS_EQUAL(1, listUsable(table, testStart + listLagAllowance)->size());
+}
+
+TEST(EndpointTable, EachEndpointIsPolledByOneNodeAndUsedByAShare)
+{
+    struct row {
+        size_t endpoints;
+        size_t leastUsed;
+        size_t mostUsed;
+    };
+    const row rows[] = { { 15, 15, 15 }, { 200, 200, 200 }, { 1500, 140, 260 } };
+    for (const row& item : rows) {
+        std::vector<instance_info> instances;
+        for (size_t index = 0; index < item.endpoints; ++index)
+            instances.push_back(makeInstance("e" + std::to_string(index)));
+        std::vector<poller> pollers;
+        for (int node = 0; node < 7; ++node)
+            pollers.push_back({ { "n" + std::to_string(node) }, {} });
+        size_t polled = 0;
+        for (const poller& node : pollers) {
+            endpoint_table table;
+            table.self = node;
+            stepEndpoints(table, listOf(instances), testStart);
+            stepEndpoints(table, pollers_known { pollers }, testStart);
+            polled += listPolledHere(table).size();
+            const size_t used = listUsable(table, testStart)->size();
+            CHECK(used >= item.leastUsed && used <= item.mostUsed);
+        }
+        LONGS_EQUAL(item.endpoints, polled);
+    }
+}
+
+TEST(EndpointTable, APollerTellsTheNodesThatUseTheEndpoint)
+{
+    endpoint_table table;
+    table.self = { { "n0" }, {} };
+    stepEndpoints(table, listOf({ makeInstance("a") }), testStart);
+    stepEndpoints(table, pollers_known { { { { "n0" }, {} }, { { "n1" }, {} }, { { "n2" }, {} } } }, testStart);
+    LONGS_EQUAL(3, stepEndpoints(table, own_load { { { "a" }, 1, 0, false } }, testStart).size());
+}
+
 TEST(EndpointTable, NonsenseFromTheCloudIsAnError)
 {
     struct row {
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -1,8 +1,14 @@
 #include "Http/Client.h"
 
+#include <algorithm>
+#include <array>
+#include <optional>
 #include <unordered_map>
 
 #include <curl/curl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 namespace Http {
 
@@ -94,13 +100,109 @@
         return connectTime == 0 ? transfer_end::NotSent : transfer_end::TimedOut;
     }
 
+    uint64_t countBytes(CURL* handle)
+    {
+        long requestBytes = 0;
+        long headBytes = 0;
+        curl_off_t bodyBytes = 0;
+        curl_off_t sentBytes = 0;
+        curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &requestBytes);
+        curl_easy_getinfo(handle, CURLINFO_HEADER_SIZE, &headBytes);
+        curl_easy_getinfo(handle, CURLINFO_SIZE_DOWNLOAD_T, &bodyBytes);
+        curl_easy_getinfo(handle, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+        return static_cast<uint64_t>(requestBytes + headBytes + bodyBytes + sentBytes);
+    }
+
 } // namespace
 
+/// libcurl's event interface over epoll: the cost of a round follows the sockets with events, not all transfers.
 struct client::implementation {
     CURLM* multi { nullptr };
+    int eventHandle { -1 };
+    int wakeHandle { -1 };
+    std::optional<std::chrono::steady_clock::time_point> timerDue;
     transfer_id lastId { 0 };
     std::unordered_map<transfer_id, std::unique_ptr<transfer>> transfers;
 
+    static int watchSocket(CURL*, curl_socket_t socket, int what, void* user, void* known)
+    {
+        auto& self = *static_cast<implementation*>(user);
+        if (what == CURL_POLL_REMOVE) {
+            epoll_ctl(self.eventHandle, EPOLL_CTL_DEL, socket, nullptr);
+            return 0;
+        }
+        epoll_event event {};
+        event.data.fd = socket;
+        if (what != CURL_POLL_OUT)
+            event.events |= EPOLLIN;
+        if (what != CURL_POLL_IN)
+            event.events |= EPOLLOUT;
+        const int operation = known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+        epoll_ctl(self.eventHandle, operation, socket, &event);
+        curl_multi_assign(self.multi, socket, &self);
+        return 0;
+    }
+
+    static int setTimer(CURLM*, long milliseconds, void* user)
+    {
+        auto& self = *static_cast<implementation*>(user);
+        if (milliseconds < 0)
+            self.timerDue.reset();
+        else
+            self.timerDue = std::chrono::steady_clock::now() + std::chrono::milliseconds(milliseconds);
+        return 0;
+    }
+
+    void open()
+    {
+        multi = curl_multi_init();
+        curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, watchSocket);
+        curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, setTimer);
+        curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+        eventHandle = epoll_create1(EPOLL_CLOEXEC);
+        wakeHandle = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+        epoll_event event {};
+        event.events = EPOLLIN;
+        event.data.fd = wakeHandle;
+        epoll_ctl(eventHandle, EPOLL_CTL_ADD, wakeHandle, &event);
+    }
+
+    int waitMilliseconds(std::chrono::milliseconds longest) const
+    {
+        if (!timerDue)
+            return static_cast<int>(longest.count());
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(*timerDue - std::chrono::steady_clock::now());
+        return static_cast<int>(std::clamp(left, std::chrono::milliseconds(0), longest).count());
+    }
+
+    void handleEvent(const epoll_event& event)
+    {
+        if (event.data.fd == wakeHandle) {
+            uint64_t wakes = 0;
+            static_cast<void>(!read(wakeHandle, &wakes, sizeof(wakes)));
+            return;
+        }
+        int flags = 0;
+        if (event.events & EPOLLIN)
+            flags |= CURL_CSELECT_IN;
+        if (event.events & EPOLLOUT)
+            flags |= CURL_CSELECT_OUT;
+        if (event.events & (EPOLLERR | EPOLLHUP))
+            flags |= CURL_CSELECT_ERR;
+        int running = 0;
+        curl_multi_socket_action(multi, event.data.fd, flags, &running);
+    }
+
+    void runTimer()
+    {
+        if (!timerDue || *timerDue > std::chrono::steady_clock::now())
+            return;
+        timerDue.reset();
+        int running = 0;
+        curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+
     std::unique_ptr<transfer> take(transfer_id id)
     {
         const auto found = transfers.find(id);
@@ -119,6 +221,7 @@
         transfer_answer answer;
         answer.end = classify(handle, code);
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &answer.status);
+        answer.wireBytes = countBytes(handle);
         const char* redirectUrl = nullptr;
         curl_easy_getinfo(handle, CURLINFO_REDIRECT_URL, &redirectUrl);
         answer.redirectUrl = redirectUrl ? redirectUrl : "";
@@ -133,7 +236,7 @@
 {
     static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
     static_cast<void>(initialized);
-    m_implementation->multi = curl_multi_init();
+    m_implementation->open();
 }
 
 client::~client()
@@ -141,6 +244,8 @@
     while (!m_implementation->transfers.empty())
         cancel(m_implementation->transfers.begin()->first);
     curl_multi_cleanup(m_implementation->multi);
+    close(m_implementation->eventHandle);
+    close(m_implementation->wakeHandle);
 }
 
 transfer_id client::start(outgoing_request request, end_handler onEnd, data_handler onData)
@@ -181,11 +286,13 @@
 
 void client::poll(std::chrono::milliseconds longest)
 {
+    constexpr int maxEvents = 256;
+    std::array<epoll_event, maxEvents> events {};
+    const int count = epoll_wait(m_implementation->eventHandle, events.data(), maxEvents, m_implementation->waitMilliseconds(longest));
+    for (int index = 0; index < count; ++index)
+        m_implementation->handleEvent(events[index]);
+    m_implementation->runTimer();
     CURLM* multi = m_implementation->multi;
-    int running = 0;
-    curl_multi_perform(multi, &running);
-    curl_multi_poll(multi, nullptr, 0, static_cast<int>(longest.count()), nullptr);
-    curl_multi_perform(multi, &running);
     int waiting = 0;
     while (const CURLMsg* message = curl_multi_info_read(multi, &waiting)) {
         if (message->msg == CURLMSG_DONE)
@@ -195,7 +302,8 @@
 
 void client::wake()
 {
-    curl_multi_wakeup(m_implementation->multi);
+    const uint64_t one = 1;
+    static_cast<void>(!write(m_implementation->wakeHandle, &one, sizeof(one)));
 }
 
 size_t client::active() const
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -40,6 +40,7 @@
     transfer_end end { transfer_end::NotSent };
     long status { 0 };
     std::string body; ///< Empty when a data handler took the bytes.
+    uint64_t wireBytes { 0 }; ///< Heads and bodies of request and answer.
     std::string redirectUrl; ///< Where a redirect points; it is not followed.
 };
 
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -3,6 +3,7 @@
 #include "Common/Log.h"
 #include "Common/Metrics.h"
 #include "Common/Text.h"
+#include "Endpoints/CloudCodec.h"
 #include "Membership/PeerCodec.h"
 #include "Protocol/peer.pb.h"
 
@@ -201,6 +202,25 @@
         sendToLinks(outgoing);
     }
 
+    void take(push_instances&& message)
+    {
+        envelope outgoing;
+        outgoing.mutable_instances_seen()->set_list_json(Endpoints::encodeInstances(message.instances));
+        sendToLinks(outgoing);
+    }
+
+    void take(give_loads&& message)
+    {
+        envelope outgoing;
+        for (const Endpoints::load_report& report : message.reports) {
+            auto* load = outgoing.mutable_load_digest()->add_loads();
+            load->set_endpoint(report.id.value);
+            load->set_running(report.running);
+            load->set_waiting(report.waiting);
+        }
+        sendTo(message.peer, outgoing);
+    }
+
     void take(place_transfer&& message)
     {
         // Each new offer of a request goes to another peer than the one before.
@@ -282,6 +302,19 @@
             outlets.tellConfiguration(std::move(heard));
     }
 
+    void hearLoads(const filbertreel::peer::load_digest& body)
+    {
+        for (const auto& load : body.loads())
+            outlets.tellEndpoints(Endpoints::load_heard { { { load.endpoint() }, load.running(), load.waiting(), false } });
+    }
+
+    void hearInstances(const filbertreel::peer::instances_seen& body)
+    {
+        auto instances = Endpoints::parseInstances(body.list_json());
+        if (instances)
+            outlets.tellEndpoints(Endpoints::instances_heard { std::move(*instances) });
+    }
+
     void hear(const envelope& message)
     {
         const Common::node_id sender { message.sender() };
@@ -299,7 +332,11 @@
         case envelope::kConfigurationPull:
             return outlets.tellConfiguration(Configuration::peer_pull { sender, { message.configuration_pull().after_version() } });
         case envelope::kEndpointLeaving:
-            return outlets.endpointLeaving({ message.endpoint_leaving().endpoint() });
+            return outlets.tellEndpoints(Endpoints::leaving_notice { { message.endpoint_leaving().endpoint() }, Endpoints::leaving_source::Peer });
+        case envelope::kLoadDigest:
+            return hearLoads(message.load_digest());
+        case envelope::kInstancesSeen:
+            return hearInstances(message.instances_seen());
         case envelope::kRequestHandover:
             return outlets.tellDispatch(Dispatch::transfer_offered { sender, decodeTransfer(message.request_handover()) });
         case envelope::kHandoverReply:
--- a/Source/Core/Membership/PeerDuty.h
+++ b/Source/Core/Membership/PeerDuty.h
@@ -6,6 +6,7 @@
 #include "Common/Ring.h"
 #include "Configuration/VersionChain.h"
 #include "Dispatch/Messages.h"
+#include "Endpoints/EndpointTable.h"
 #include "Membership/Members.h"
 
 #include <atomic>
@@ -34,6 +35,17 @@
     Common::endpoint_id endpoint;
 };
 
+/// Tell the linked peers of instances that are new on the cloud's list.
+struct push_instances {
+    std::vector<Endpoints::instance_info> instances;
+};
+
+/// Give a peer the load of endpoints that it routes to.
+struct give_loads {
+    Common::node_id peer;
+    std::vector<Endpoints::load_report> reports;
+};
+
 /// Find a peer that takes over a request.
 struct place_transfer {
     Dispatch::request_transfer item;
@@ -57,13 +69,13 @@
 };
 
 using peer_message = std::variant<seeds_known, configuration_moved, leave_begun, push_changes, pull_changes, give_changes,
-    push_leaving, place_transfer, confirm_transfer, find_holder, confirm_holder>;
+    push_leaving, push_instances, give_loads, place_transfer, confirm_transfer, find_holder, confirm_holder>;
 
 /// Where the duty's actions go. None of them blocks.
 struct peer_outlets {
     std::function<void(const member_map&)> publishMembers;
     std::function<void(Configuration::chain_message&&)> tellConfiguration;
-    std::function<void(const Common::endpoint_id&)> endpointLeaving;
+    std::function<void(Endpoints::table_message&&)> tellEndpoints;
     std::function<void(Dispatch::dispatch_message&&)> tellDispatch;
     std::function<void(const Common::request_id&, const std::string& httpAddress)> located;
 };
--- a/Source/Core/Platform/PlatformDuty.cpp
+++ b/Source/Core/Platform/PlatformDuty.cpp
@@ -40,6 +40,7 @@
     Http::outgoing_request request = encodeOperation(m_settings.tableUrl, m_settings.tableName, call.operation);
     auto shared = std::make_shared<table_call>(std::move(call));
     m_client.start(std::move(request), [shared](Http::transfer_answer&& answer) {
+        Common::countMetric("filbertreel_control_bytes_total{peer=\"table\"}", answer.wireBytes);
         table_reply reply = decodeAnswer(shared->operation, answer);
         if (reply.outcome != table_outcome::Done && reply.outcome != table_outcome::ConditionFailed)
             Common::countMetric("filbertreel_table_failures_total");
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -16,6 +16,8 @@
     constexpr double targetShare = 0.8;
     /// Costs within this factor of the cheapest count as equal.
     constexpr double equalCostFactor = 1.1;
+    /// A decision looks at so many endpoints; with more, different decisions look at different ones.
+    constexpr size_t maxExamined = 64;
     constexpr double learningRate = 0.1;
     constexpr double shortestFirstTokenSeconds = 0.001;
     constexpr double ejectionFailureRate = 0.5;
@@ -25,15 +27,9 @@
     constexpr size_t maxPrefixHolders = 8192;
     constexpr uint32_t shareScale = 1000;
 
-    struct candidate {
-        uint32_t index;
-        double firstTokenSeconds;
-        double costMicro;
-    };
-
-    double linkSeconds(const router_state& state, const Endpoints::instance_info& info)
+    double linkSeconds(const endpoint_view& view)
     {
-        return info.region == state.region ? sameRegionLinkSeconds : crossRegionLinkSeconds;
+        return view.isInRegion ? sameRegionLinkSeconds : crossRegionLinkSeconds;
     }
 
     double occupied(const endpoint_view& view)
@@ -44,22 +40,20 @@
 
     double queueSeconds(const endpoint_view& view)
     {
-        const double slots = std::max<uint32_t>(view.info.slots, 1);
-        const double ahead = std::max(0.0, occupied(view) + 1 - slots);
-        return ahead / slots * view.answerSeconds;
+        const double ahead = occupied(view) + 1 - view.slots;
+        return ahead <= 0 ? 0 : ahead / view.slots * view.answerSeconds;
     }
 
     candidate predict(const router_state& state, uint32_t index, const Common::endpoint_id* prefixHolder)
     {
         const endpoint_view& view = state.views[index];
-        const bool holdsPrefix = prefixHolder && *prefixHolder == view.info.id;
+        const bool holdsPrefix = prefixHolder && *prefixHolder == view.info->id;
         const double prefill = view.firstTokenSeconds * (holdsPrefix ? cachedPrefixFactor : 1.0);
-        const double slots = std::max<uint32_t>(view.info.slots, 1);
         const double occupiedSeconds = view.answerSeconds - view.firstTokenSeconds + prefill;
         candidate item { index, 0, 0 };
-        item.firstTokenSeconds = linkSeconds(state, view.info) + queueSeconds(view) + prefill;
-        item.costMicro = static_cast<double>(view.info.pricePerHour.value) / secondsPerHour / slots * std::max(occupiedSeconds, 0.0);
-        if (view.info.region != state.region)
+        item.firstTokenSeconds = linkSeconds(view) + queueSeconds(view) + prefill;
+        item.costMicro = view.costPerSlotSecond * std::max(occupiedSeconds, 0.0);
+        if (!view.isInRegion)
             item.costMicro += crossRegionCostMicro;
         return item;
     }
@@ -71,7 +65,7 @@
 
     bool isAdmissible(const endpoint_view& view, const routing_request& request, Common::instant now)
     {
-        return view.ejectedUntil <= now && !isAvoided(request, view.info.id);
+        return view.ejectedUntil <= now && (request.avoided.empty() || !isAvoided(request, view.info->id));
     }
 
     /// A newcomer takes a growing share of the choices, so that a cold cache is not flooded.
@@ -107,17 +101,22 @@
 
     using index_list = std::vector<uint32_t>;
 
-    index_list admissible(router_state& state, const routing_request& request, Common::instant now)
+    /// Fills the router's scratch list with endpoints that may be asked now: all of them, or a random run of a long list.
+    index_list& listAdmissible(router_state& state, const routing_request& request, Common::instant now)
     {
-        index_list list;
+        index_list& list = state.scratchIndexes;
+        list.clear();
         const auto found = state.byService.find(request.work->service);
         if (found == state.byService.end())
             return list;
         const auto drawn = drawVersion(state, request);
-        list.reserve(found->second.size());
-        for (const uint32_t index : found->second) {
+        const index_list& all = found->second;
+        const auto count = static_cast<uint32_t>(all.size());
+        const uint32_t start = count > maxExamined ? Common::uniformBelow(state.random, count) : 0;
+        for (uint32_t step = 0; step < count && list.size() < maxExamined; ++step) {
+            const uint32_t index = all[start + step < count ? start + step : start + step - count];
             const endpoint_view& view = state.views[index];
-            if (isAdmissible(view, request, now) && matchesVersion(request, drawn, view.info.version))
+            if (isAdmissible(view, request, now) && (!request.versionShares || matchesVersion(request, drawn, view.info->version)))
                 list.push_back(index);
         }
         return list;
@@ -129,41 +128,64 @@
         return prefixHash != 0 && found != state.prefixHolders.end() ? &found->second : nullptr;
     }
 
-    const candidate& fasterOfTwo(router_state& state, const std::vector<candidate>& items)
+    const candidate& fasterOfTwo(router_state& state, const std::vector<candidate>& items, const Common::endpoint_id* prefixHolder)
     {
-        // Two random choices keep many nodes from chasing the same idle endpoint.
+        // Two random choices keep many nodes from chasing the same idle endpoint; a holder of the prefix is always one.
         const auto count = static_cast<uint32_t>(items.size());
-        const candidate& first = items[Common::uniformBelow(state.random, count)];
+        const auto holder = std::find_if(items.begin(), items.end(), [&](const candidate& item) {
+            return prefixHolder && state.views[item.index].info->id == *prefixHolder;
+        });
+        const candidate& first = holder != items.end() ? *holder : items[Common::uniformBelow(state.random, count)];
         const candidate& second = items[Common::uniformBelow(state.random, count)];
         return second.firstTokenSeconds < first.firstTokenSeconds ? second : first;
     }
 
+    double targetSeconds(const Configuration::class_of_work& work)
+    {
+        const bool isModel = work.kind == Configuration::class_kind::Model;
+        const auto target = isModel ? work.firstTokenTarget : work.answerTarget;
+        return std::chrono::duration<double>(target).count() * targetShare;
+    }
+
+    /// Keeps those of the candidates that are in the target and about as cheap as the cheapest.
+    void keepEquallyCheap(std::vector<candidate>& items, double cheapest, double limit)
+    {
+        std::erase_if(items, [&](const candidate& item) {
+            return item.firstTokenSeconds > limit || item.costMicro > cheapest * equalCostFactor;
+        });
+    }
+
+    /// The endpoint that holds the prompt's prefix is looked at in any case.
+    void addPrefixHolder(router_state& state, const routing_request& request, Common::instant now)
+    {
+        const Common::endpoint_id* holder = findPrefixHolder(state, request.prefixHash);
+        const endpoint_view* view = holder ? findView(state, *holder) : nullptr;
+        const bool isMissing = view && state.scratchIndexes.size() == maxExamined;
+        if (isMissing && view->info->service == request.work->service && !request.versionShares && isAdmissible(*view, request, now))
+            state.scratchIndexes.push_back(static_cast<uint32_t>(view - state.views.data()));
+    }
+
     routing_choice chooseCheapest(router_state& state, const routing_request& request, const index_list& list, Common::instant now)
     {
-        const bool isModel = request.work->kind == Configuration::class_kind::Model;
-        const auto target = isModel ? request.work->firstTokenTarget : request.work->answerTarget;
-        const double limit = std::chrono::duration<double>(target).count() * targetShare;
+        const double limit = targetSeconds(*request.work);
         const Common::endpoint_id* holder = findPrefixHolder(state, request.prefixHash);
-        std::vector<candidate> all;
-        all.reserve(list.size());
+        std::vector<candidate>& all = state.scratchCandidates;
+        all.clear();
+        const candidate* fastest = nullptr;
         double cheapest = -1;
+        all.reserve(list.size() + 1);
         for (const uint32_t index : list) {
-            const candidate item = predict(state, index, holder);
+            const candidate& item = all.emplace_back(predict(state, index, holder));
+            if (!fastest || item.firstTokenSeconds < fastest->firstTokenSeconds)
+                fastest = &item;
             const bool isCheapest = item.firstTokenSeconds <= limit && (cheapest < 0 || item.costMicro < cheapest);
             if (isCheapest && passesSlowStart(state, state.views[index], now))
                 cheapest = item.costMicro;
-            all.push_back(item);
         }
-        if (cheapest < 0) {
-            const candidate& fastest = *std::min_element(all.begin(), all.end(), [](const candidate& left, const candidate& right) {
-                return left.firstTokenSeconds < right.firstTokenSeconds;
-            });
-            return { fastest.index, fastest.firstTokenSeconds, fastest.costMicro, false };
-        }
-        std::erase_if(all, [&](const candidate& item) {
-            return item.firstTokenSeconds > limit || item.costMicro > cheapest * equalCostFactor;
-        });
-        const candidate& chosen = fasterOfTwo(state, all);
+        if (cheapest < 0)
+            return { fastest->index, fastest->firstTokenSeconds, fastest->costMicro, false };
+        keepEquallyCheap(all, cheapest, limit);
+        const candidate& chosen = fasterOfTwo(state, all, holder);
         return { chosen.index, chosen.firstTokenSeconds, chosen.costMicro, true };
     }
 
@@ -186,7 +208,7 @@
             });
         }
         return *std::min_element(list.begin(), list.end(), [&state](uint32_t left, uint32_t right) {
-            return distance(state, state.views[left].info) < distance(state, state.views[right].info);
+            return distance(state, *state.views[left].info) < distance(state, *state.views[right].info);
         });
     }
 
@@ -216,14 +238,17 @@
         view.firstSeen = isFirstList ? now - slowStartPeriod : now;
         if (const endpoint_view* known = findView(state, info.id))
             view = *known;
-        view.info = info;
+        view.info = std::make_shared<const Endpoints::instance_info>(info);
+        view.isInRegion = info.region == state.region;
+        view.slots = std::max<uint32_t>(info.slots, 1);
+        view.costPerSlotSecond = static_cast<double>(info.pricePerHour.value) / secondsPerHour / view.slots;
         next.push_back(std::move(view));
     }
-    std::sort(next.begin(), next.end(), [](const endpoint_view& left, const endpoint_view& right) { return left.info.id < right.info.id; });
+    std::sort(next.begin(), next.end(), [](const endpoint_view& left, const endpoint_view& right) { return left.info->id < right.info->id; });
     state.views = std::move(next);
     state.byService.clear();
     for (uint32_t index = 0; index < state.views.size(); ++index)
-        state.byService[state.views[index].info.service].push_back(index);
+        state.byService[state.views[index].info->service].push_back(index);
 }
 
 void takeReport(router_state& state, const Endpoints::load_report& report)
@@ -238,11 +263,13 @@
 
 std::optional<routing_choice> chooseEndpoint(router_state& state, const routing_request& request, Common::instant now)
 {
-    const index_list list = admissible(state, request, now);
+    const index_list& list = listAdmissible(state, request, now);
     if (list.empty())
         return std::nullopt;
-    if (state.chosenPolicy == policy::CheapestInTarget)
+    if (state.chosenPolicy == policy::CheapestInTarget) {
+        addPrefixHolder(state, request, now);
         return chooseCheapest(state, request, list, now);
+    }
     const uint32_t index = chooseBaseline(state, list);
     const candidate item = predict(state, index, nullptr);
     return routing_choice { index, item.firstTokenSeconds, item.costMicro, true };
@@ -286,8 +313,8 @@
 endpoint_view* findView(router_state& state, const Common::endpoint_id& id)
 {
     const auto found = std::lower_bound(state.views.begin(), state.views.end(), id,
-        [](const endpoint_view& view, const Common::endpoint_id& wanted) { return view.info.id < wanted; });
-    return found != state.views.end() && found->info.id == id ? &*found : nullptr;
+        [](const endpoint_view& view, const Common::endpoint_id& wanted) { return view.info->id < wanted; });
+    return found != state.views.end() && found->info->id == id ? &*found : nullptr;
 }
 
 uint32_t predictFreeSlots(const router_state& state, const std::string& service)
@@ -298,7 +325,7 @@
     double freeSlots = 0;
     for (const uint32_t index : found->second) {
         const endpoint_view& view = state.views[index];
-        freeSlots += std::max(0.0, view.info.slots - occupied(view));
+        freeSlots += std::max(0.0, view.slots - occupied(view));
     }
     return static_cast<uint32_t>(freeSlots);
 }
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -25,7 +25,7 @@
 
 /// What this node knows of one endpoint.
 struct endpoint_view {
-    Endpoints::instance_info info;
+    std::shared_ptr<const Endpoints::instance_info> info; ///< Apart, so that a decision reads few cache lines.
     uint32_t reportedRunning { 0 };
     uint32_t reportedWaiting { 0 };
     uint32_t sentSinceReport { 0 }; ///< Attempts begun here that the last report can't contain.
@@ -36,6 +36,17 @@
     Common::instant firstSeen;
     Common::instant ejectedUntil;
     uint32_t ejections { 0 };
+    // Derived from info, so that a decision touches no text.
+    bool isInRegion { true };
+    double slots { 1 };
+    double costPerSlotSecond { 0 };
+};
+
+/// One endpoint while a decision is made.
+struct candidate {
+    uint32_t index { 0 };
+    double firstTokenSeconds { 0 };
+    double costMicro { 0 };
 };
 
 struct router_state {
@@ -47,6 +58,9 @@
     std::map<std::string, std::vector<uint32_t>> byService; ///< Indexes into views.
     std::unordered_map<uint64_t, Common::endpoint_id> prefixHolders; ///< Who answered a prompt prefix last.
     uint32_t roundRobinNext { 0 };
+    // Kept between decisions, so that a decision allocates nothing.
+    std::vector<uint32_t> scratchIndexes;
+    std::vector<candidate> scratchCandidates;
 };
 
 /// What an attempt needs.
--- a/Source/Core/Routing/Tests/RouterTest.cpp
+++ b/Source/Core/Routing/Tests/RouterTest.cpp
@@ -50,7 +50,7 @@
     request.work = &work;
     request.avoided = std::move(avoided);
     const auto choice = chooseEndpoint(state, request, testStart);
-    return choice ? state.views[choice->index].info.id.value : "none";
+    return choice ? state.views[choice->index].info->id.value : "none";
 }
 
 } // namespace
@@ -96,6 +96,22 @@
     LONGS_EQUAL(10, chosen.size());
 }
 
+TEST(Router, AmongManyTheHolderOfThePrefixIsFound)
+{
+    router_state state;
+    std::vector<Endpoints::instance_info> instances;
+    for (int index = 0; index < 300; ++index)
+        instances.push_back(makeInstance("e" + std::to_string(index), "east", "home", 100));
+    setEndpoints(state, instances, testStart);
+    noteBegun(state, { "e77" }, 42);
+    const auto work = makeClass();
+    routing_request request;
+    request.work = &work;
+    request.prefixHash = 42;
+    for (int round = 0; round < 50; ++round)
+        STRCMP_EQUAL("e77", state.views[chooseEndpoint(state, request, testStart)->index].info->id.value.c_str());
+}
+
 TEST(Router, AFailingEndpointIsEjectedAndLetBackIn)
 {
     router_state state = makeState();
@@ -106,7 +122,7 @@
     const auto work = makeClass();
     request.work = &work;
     const auto later = chooseEndpoint(state, request, testStart + std::chrono::hours(1));
-    STRCMP_EQUAL("cheap", state.views[later->index].info.id.value.c_str());
+    STRCMP_EQUAL("cheap", state.views[later->index].info->id.value.c_str());
 }
 
 TEST(Router, AvoidedEndpointsAndUnknownServicesAreNotChosen)
@@ -136,7 +152,7 @@
         request.versionShares = &shares;
         int toNew = 0;
         for (int round = 0; round < 2000; ++round)
-            toNew += state.views[chooseEndpoint(state, request, testStart)->index].info.id.value == "new" ? 1 : 0;
+            toNew += state.views[chooseEndpoint(state, request, testStart)->index].info->id.value == "new" ? 1 : 0;
         CHECK(toNew >= item.least && toNew <= item.most);
     }
 }
--- a/Source/Filbertreeld/Node.cpp
+++ b/Source/Filbertreeld/Node.cpp
@@ -96,7 +96,7 @@
         , platform({ given.tableUrl })
         , audit(makeAuditOutlets())
         , configuration(makeConfigurationOutlets())
-        , endpoints({ given.cloudUrl, given.listInterval, given.loadInterval }, makeEndpointsOutlets())
+        , endpoints({ given.cloudUrl, { given.node, given.region }, given.listInterval, given.loadInterval }, makeEndpointsOutlets())
         , dispatch(makeDispatchState(given, incarnation), makeDispatchOutlets())
         , peers(makePeerSettings(given, incarnation), makePeerOutlets())
         , entry(makeEntrySettings(given), makeEntryOutlets())
@@ -147,10 +147,24 @@
         };
         outlets.publishLoad = [this](const Endpoints::load_report& report) { static_cast<void>(dispatch.submit(Dispatch::load_published { report })); };
         outlets.tellPeersLeaving = [this](const Common::endpoint_id& id) { static_cast<void>(peers.submit(Membership::push_leaving { id })); };
+        outlets.tellPeersInstances = [this](const std::vector<Endpoints::instance_info>& instances) { static_cast<void>(peers.submit(Membership::push_instances { instances })); };
+        outlets.tellPeerLoads = [this](const Common::node_id& node, const std::vector<Endpoints::load_report>& reports) {
+            static_cast<void>(peers.submit(Membership::give_loads { node, reports }));
+        };
         outlets.publishEntries = [this](const std::vector<Endpoints::instance_info>& entries) { takeEntries(entries); };
         return outlets;
     }
 
+    std::vector<Endpoints::poller> listPollers(const Membership::member_map& members) const
+    {
+        std::vector<Endpoints::poller> pollers { { settings.node, settings.region } };
+        for (const auto& [id, item] : members) {
+            if (item.status == Membership::member_status::Alive)
+                pollers.push_back({ id, item.region });
+        }
+        return pollers;
+    }
+
     void takeEntries(const std::vector<Endpoints::instance_info>& entries)
     {
         Membership::seeds_known seeds;
@@ -175,7 +189,7 @@
         };
         outlets.callTable = tableCaller();
         outlets.reportRefused = [this](const Common::endpoint_id& id) {
-            static_cast<void>(endpoints.submit({ id, Endpoints::leaving_source::RefusedConnection }));
+            static_cast<void>(endpoints.submit(Endpoints::leaving_notice { id, Endpoints::leaving_source::RefusedConnection }));
         };
         outlets.offerTransfer = [this](Dispatch::request_transfer&& item) { static_cast<void>(peers.submit(Membership::place_transfer { std::move(item) })); };
         outlets.acceptTransfer = [this](const Dispatch::accept_transfer& action) {
@@ -193,9 +207,12 @@
     Membership::peer_outlets makePeerOutlets()
     {
         Membership::peer_outlets outlets;
-        outlets.publishMembers = [this](const Membership::member_map& members) { static_cast<void>(entry.submit(Entry::members_changed { members })); };
+        outlets.publishMembers = [this](const Membership::member_map& members) {
+            static_cast<void>(endpoints.submit(Endpoints::pollers_known { listPollers(members) }));
+            static_cast<void>(entry.submit(Entry::members_changed { members }));
+        };
         outlets.tellConfiguration = [this](Configuration::chain_message&& message) { static_cast<void>(configuration.submit(std::move(message))); };
-        outlets.endpointLeaving = [this](const Common::endpoint_id& id) { static_cast<void>(endpoints.submit({ id, Endpoints::leaving_source::Peer })); };
+        outlets.tellEndpoints = [this](Endpoints::table_message&& message) { static_cast<void>(endpoints.submit(std::move(message))); };
         outlets.tellDispatch = [this](Dispatch::dispatch_message&& message) { static_cast<void>(dispatch.submit(std::move(message))); };
         outlets.located = [this](const Common::request_id& request, const std::string& address) {
             static_cast<void>(entry.submit(Entry::request_located { request, address }));
--- a/Tests/Harness/Cluster.cpp
+++ b/Tests/Harness/Cluster.cpp
@@ -125,7 +125,7 @@
 void cluster::startEngine(int number)
 {
     const std::string name = "engine-" + std::to_string(number);
-    std::vector<std::string> arguments { STANDIN_PROGRAM, "engine", "--port", std::to_string(m_settings.basePort + engineOffset + number), "--name", name };
+    std::vector<std::string> arguments { STANDIN_PROGRAM, "engine", "--port", std::to_string(m_settings.basePort + engineOffset + number), "--name", name, "--slots", std::to_string(m_settings.engineSlots) };
     arguments.insert(arguments.end(), m_settings.engineOptions.begin(), m_settings.engineOptions.end());
     m_engines[number] = startProcess(arguments, {}, m_logFolder + "/" + name + ".log");
     listEndpoint(name, "engine", "summary-model", engineUrl(number), zoneOf(number));
@@ -178,7 +178,7 @@
         { "zone", zone },
         { "region", "midlands" },
         { "price_per_hour_micro", 900000 },
-        { "slots", 8 },
+        { "slots", m_settings.engineSlots },
         { "state", isLeaving ? "leaving" : "running" },
     };
     control(cloudUrl(), { { "set", json::array({ item }) } });
--- a/Tests/Harness/Cluster.h
+++ b/Tests/Harness/Cluster.h
@@ -21,6 +21,7 @@
     int nodes { 3 };
     int engines { 3 };
     int ledgers { 1 };
+    int engineSlots { 8 };
     std::vector<std::string> nodeOptions; ///< Further flags of every node.
     std::vector<std::string> engineOptions;
 };
--- a/Tests/Promises/ConfigurationTest.cpp
+++ b/Tests/Promises/ConfigurationTest.cpp
@@ -56,7 +56,7 @@
     right.join();
     LONGS_EQUAL(200 + 409, answers[0].status + answers[1].status);
     const http_answer& loser = answers[0].status == 409 ? answers[0] : answers[1];
-    LONGS_EQUAL(1, json::parse(loser.body)["changed_meanwhile"].size());
+    LONGS_EQUAL_TEXT(1, json::parse(loser.body)["changed_meanwhile"].size(), loser.body.c_str());
 }
 
 TEST(ConfigurationInForce, TheReplyOfTheStoreIsLost)
