--- a/Source/Core/Dispatch/DispatchDuty.cpp
+++ b/Source/Core/Dispatch/DispatchDuty.cpp
@@ -48,13 +48,13 @@
             dispatch(dispatch_tick {});
             nextTick = std::chrono::steady_clock::now() + tickInterval;
             publishMetrics();
+            m_unfinished = countUnfinished(m_state);
         }
         m_client.poll(tickInterval);
         for (dispatch_message& message : std::exchange(m_fromEndpoints, {}))
             dispatch(std::move(message));
         if (!m_forCallers.empty() && m_outlets.tellCallers(m_forCallers))
             m_forCallers.clear();
-        m_unfinished = countUnfinished(m_state);
     }
 }
 
--- a/Source/Core/Dispatch/EngineCodec.cpp
+++ b/Source/Core/Dispatch/EngineCodec.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/EngineCodec.h"
 
+#include <array>
+
 #include <nlohmann/json.hpp>
 
 namespace Dispatch {
@@ -20,19 +22,110 @@
         return text;
     }
 
-    void readChoice(engine_stream& stream, const json& choice, std::vector<std::string>& texts)
+    enum class event_member {
+        Other,
+        Choices,
+        Delta,
+        Content,
+        FinishReason,
+    };
+
+    event_member classifyMember(std::string_view name)
     {
-        const auto finish = choice.find("finish_reason");
-        if (finish != choice.end() && finish->is_string())
-            stream.finishReason = finish->get<std::string>();
-        const auto delta = choice.find("delta");
-        if (delta == choice.end() || !delta->is_object())
-            return;
-        const auto content = delta->find("content");
-        if (content != delta->end() && content->is_string() && !content->get_ref<const std::string&>().empty())
-            texts.push_back(content->get<std::string>());
+        if (name == "choices")
+            return event_member::Choices;
+        if (name == "delta")
+            return event_member::Delta;
+        if (name == "content")
+            return event_member::Content;
+        if (name == "finish_reason")
+            return event_member::FinishReason;
+        return event_member::Other;
     }
 
+    /// Picks the first choice's content and finish reason out of an event without building a document: one event
+    /// arrives for every token.
+    class event_handler final : public nlohmann::json_sax<json> {
+    public:
+        bool hasChoices { false };
+        std::string content;
+        std::string finishReason;
+
+        bool null() override { return true; }
+        bool boolean(bool) override { return true; }
+        bool number_integer(number_integer_t) override { return true; }
+        bool number_unsigned(number_unsigned_t) override { return true; }
+        bool number_float(number_float_t, const string_t&) override { return true; }
+        bool binary(binary_t&) override { return true; }
+        bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override { return false; }
+
+        bool string(string_t& value) override
+        {
+            if (isAt(deltaDepth, event_member::Content) && m_members[choiceDepth] == event_member::Delta)
+                content = std::move(value);
+            else if (isAt(choiceDepth, event_member::FinishReason))
+                finishReason = std::move(value);
+            return true;
+        }
+
+        bool key(string_t& name) override
+        {
+            if (m_depth < m_members.size())
+                m_members[m_depth] = classifyMember(name);
+            return true;
+        }
+
+        bool start_object(std::size_t) override
+        {
+            m_choices += m_depth == listDepth ? 1 : 0;
+            enter();
+            return true;
+        }
+
+        bool end_object() override
+        {
+            --m_depth;
+            return true;
+        }
+
+        bool start_array(std::size_t) override
+        {
+            hasChoices = hasChoices || (m_depth == eventDepth && m_members[eventDepth] == event_member::Choices);
+            enter();
+            return true;
+        }
+
+        bool end_array() override
+        {
+            --m_depth;
+            return true;
+        }
+
+    private:
+        // Depths inside {"choices":[{"delta":{"content":...}}]}.
+        static constexpr size_t eventDepth = 1;
+        static constexpr size_t listDepth = 2;
+        static constexpr size_t choiceDepth = 3;
+        static constexpr size_t deltaDepth = 4;
+        static constexpr size_t watchedDepths = 5;
+
+        void enter()
+        {
+            ++m_depth;
+            if (m_depth < m_members.size())
+                m_members[m_depth] = event_member::Other;
+        }
+
+        bool isAt(size_t depth, event_member member) const
+        {
+            return m_depth == depth && m_members[depth] == member && m_members[eventDepth] == event_member::Choices && m_choices == 1;
+        }
+
+        size_t m_depth { 0 };
+        size_t m_choices { 0 };
+        std::array<event_member, watchedDepths> m_members {};
+    };
+
     void readLine(engine_stream& stream, std::string_view line, std::vector<std::string>& texts)
     {
         if (line.substr(0, dataPrefix.size()) != dataPrefix)
@@ -40,14 +133,15 @@
         const std::string_view data = trim(line.substr(dataPrefix.size()));
         if (data == doneMark || stream.isNonsense)
             return;
-        const json event = json::parse(data, nullptr, false);
-        const auto choices = event.is_object() ? event.find("choices") : event.end();
-        if (!event.is_object() || choices == event.end() || !choices->is_array()) {
+        event_handler handler;
+        if (!json::sax_parse(data, &handler) || !handler.hasChoices) {
             stream.isNonsense = true;
             return;
         }
-        if (!choices->empty() && choices->front().is_object())
-            readChoice(stream, choices->front(), texts);
+        if (!handler.finishReason.empty())
+            stream.finishReason = std::move(handler.finishReason);
+        if (!handler.content.empty())
+            texts.push_back(std::move(handler.content));
     }
 
 } // namespace
