Routing learns its error and how much of the target it may use

Change: what this node sent since the report counts once for every node that shares the endpoint; an endpoint's lateness against the prediction is learned and added; the share of the target that a prediction may use falls by 0.04 with each late first token and rises so that about 2 in 100 are late.

--- a/Benchmarks/DecisionBenchmarks.cpp
+++ b/Benchmarks/DecisionBenchmarks.cpp
@@ -227,7 +227,7 @@
     Dispatch::dispatch_state dispatch;
     dispatch.settings.node = { "node-1" };
     dispatch.admission.settings.maxInFlight = 1000000;
-    stepDispatch(dispatch, Dispatch::endpoints_published { std::make_shared<const std::vector<Endpoints::instance_info>>(makeInstances(200)) }, { testStart, {} });
+    stepDispatch(dispatch, Dispatch::endpoints_published { std::make_shared<const std::vector<Endpoints::instance_info>>(makeInstances(200)), 1 }, { testStart, {} });
     return dispatch;
 }
 
--- a/Benchmarks/Measure.cpp
+++ b/Benchmarks/Measure.cpp
@@ -140,6 +140,7 @@
                 node.state.settings.node = { "node-" + std::to_string(index) };
                 node.state.settings.incarnation = { 1 };
                 node.state.config = shared;
+                node.state.admission.settings.refusesLate = m_options.hasAdmission;
                 node.state.router.chosenPolicy = m_options.policy;
                 node.state.router.region = { node.region };
                 node.state.router.zone = { node.region };
@@ -162,7 +163,7 @@
                     list->push_back(engine.info);
             }
             for (size_t node = 0; node < m_nodes.size(); ++node)
-                tell(node, Dispatch::endpoints_published { list });
+                tell(node, Dispatch::endpoints_published { list, static_cast<double>(m_nodes.size()) });
         }
 
         void tell(size_t node, Dispatch::dispatch_message message)
@@ -230,8 +231,6 @@
             request.account = { m_profile.accounts[caller.account].name };
             request.work.name = { "work" };
             request.work.service = "model";
-            if (!m_options.hasAdmission)
-                request.work.firstTokenTarget = std::chrono::hours(1);
             request.isStreamed = true;
             request.body = { { "messages", nlohmann::json::array({ { { "role", "system" }, { "content", "prefix " + std::to_string(caller.prefix) } } }) }, { "max_tokens", caller.tokens } };
             tell(node, std::move(request));
--- a/Benchmarks/MeasureMain.cpp
+++ b/Benchmarks/MeasureMain.cpp
@@ -24,7 +24,7 @@
         options.policy = Routing::policy::LeastReported;
     if (policyName == "nearest")
         options.policy = Routing::policy::Nearest;
-    options.hasAdmission = policyName == "cheapest";
+    options.hasAdmission = policyName != "no-admission";
     const Measure::measure_result result = runMeasure(Measure::findProfile(profileName), options);
     const auto share = [](uint64_t part, uint64_t whole) { return whole == 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole); };
     nlohmann::ordered_json line {
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -159,6 +159,7 @@
 
     void handle(step_context& context, endpoints_published&& message)
     {
+        context.state.router.sharingNodes = message.sharingNodes;
         Routing::setEndpoints(context.state.router, *message.usable, context.clock.now);
     }
 
--- a/Source/Core/Dispatch/Messages.h
+++ b/Source/Core/Dispatch/Messages.h
@@ -82,6 +82,7 @@
 
 struct endpoints_published {
     Endpoints::endpoint_list usable;
+    double sharingNodes { 1 }; ///< Entry nodes that send to one of them, about.
 };
 
 struct load_published {
--- a/Source/Core/Dispatch/ModelWork.cpp
+++ b/Source/Core/Dispatch/ModelWork.cpp
@@ -180,6 +180,8 @@
             return;
         request.firstTokenAt = context.clock.now;
         const double sinceArrival = std::chrono::duration<double>(context.clock.now - request.arrivedAt).count();
+        const bool isLate = sinceArrival > std::chrono::duration<double>(request.work.firstTokenTarget).count();
+        Routing::learnTargetShare(context.state.router, request.work.name, isLate);
         note(context, "first_token", request, { { "seconds", sinceArrival }, { "endpoint", request.attempt->endpoint.value } });
     }
 
--- a/Source/Core/Endpoints/EndpointTable.cpp
+++ b/Source/Core/Endpoints/EndpointTable.cpp
@@ -76,7 +76,7 @@
         if (!fresh.empty())
             output.push_back(tell_peers_instances { std::move(fresh) });
         forgetOldMarks(table, now);
-        output.push_back(publish_endpoints { listUsable(table, now) });
+        output.push_back(publish_endpoints { listUsable(table, now), countSharingNodes(table) });
         output.push_back(publish_entries { std::move(entryInstances) });
     }
 
@@ -84,7 +84,7 @@
     {
         if (message.report.isLeaving && markLeaving(table, message.report.id, now)) {
             output.push_back(tell_peers_leaving { message.report.id });
-            output.push_back(publish_endpoints { listUsable(table, now) });
+            output.push_back(publish_endpoints { listUsable(table, now), countSharingNodes(table) });
         }
         for (const poller& node : table.pollers) {
             const bool isUser = node.id != table.self.id && usesEndpoint(table, node, message.report.id);
@@ -108,7 +108,7 @@
         if (fresh.empty())
             return;
         output.push_back(tell_peers_instances { std::move(fresh) });
-        output.push_back(publish_endpoints { listUsable(table, now) });
+        output.push_back(publish_endpoints { listUsable(table, now), countSharingNodes(table) });
     }
 
     void handle(endpoint_table&, load_heard&& message, Common::instant, actions& output)
@@ -128,13 +128,13 @@
             if (found == table.entries.end())
                 return;
             found->second.unreachableUntil = now + unreachablePeriod;
-            output.push_back(publish_endpoints { listUsable(table, now) });
+            output.push_back(publish_endpoints { listUsable(table, now), countSharingNodes(table) });
             return;
         }
         if (!markLeaving(table, message.id, now))
             return;
         output.push_back(tell_peers_leaving { message.id });
-        output.push_back(publish_endpoints { listUsable(table, now) });
+        output.push_back(publish_endpoints { listUsable(table, now), countSharingNodes(table) });
     }
 
 } // namespace
@@ -166,6 +166,14 @@
     return std::max<size_t>(readers, 1);
 }
 
+double countSharingNodes(const endpoint_table& table)
+{
+    if (isSmallFleet(table))
+        return static_cast<double>(std::max<size_t>(table.pollers.size(), 1));
+    const double inRegion = static_cast<double>(std::max<size_t>(countInRegion(table, table.self.region), 1));
+    return std::max(1.0, static_cast<double>(countListReaders(table)) * std::min(1.0, subsetSize / inRegion));
+}
+
 endpoint_list listUsable(const endpoint_table& table, Common::instant now)
 {
     auto usable = std::make_shared<std::vector<instance_info>>();
--- a/Source/Core/Endpoints/EndpointTable.h
+++ b/Source/Core/Endpoints/EndpointTable.h
@@ -48,6 +48,7 @@
 /// The list of usable endpoints changed.
 struct publish_endpoints {
     endpoint_list usable;
+    double sharingNodes { 1 }; ///< Entry nodes that send to one of them, about.
 };
 
 struct publish_load {
@@ -114,6 +115,10 @@
 /// @return how many nodes share the reading of the cloud's list with this one, itself included.
 size_t countListReaders(const endpoint_table& table);
 
+/// @param table the endpoints.
+/// @return how many entry nodes send to one endpoint, this one included, about.
+double countSharingNodes(const endpoint_table& table);
+
 /// @param table the endpoints.
 /// @param now the present time.
 /// @return those of this node's subset that may take new work.
--- a/Source/Core/Endpoints/EndpointsDuty.cpp
+++ b/Source/Core/Endpoints/EndpointsDuty.cpp
@@ -66,7 +66,7 @@
     for (const instance_info& info : listPolledHere(m_table))
         pollLoad(info);
     // An unreachable endpoint becomes usable again by the passing of time alone.
-    perform(publish_endpoints { listUsable(m_table, now) });
+    perform(publish_endpoints { listUsable(m_table, now), countSharingNodes(m_table) });
 }
 
 void endpoints_duty::pollList()
@@ -116,7 +116,7 @@
 void endpoints_duty::perform(const publish_endpoints& action)
 {
     Common::setMetric("filbertreel_endpoints_usable", static_cast<double>(action.usable->size()));
-    m_outlets.publishEndpoints(action.usable);
+    m_outlets.publishEndpoints(action);
 }
 
 void endpoints_duty::perform(const publish_load& action)
--- a/Source/Core/Endpoints/EndpointsDuty.h
+++ b/Source/Core/Endpoints/EndpointsDuty.h
@@ -23,7 +23,7 @@
 
 /// Where the duty's actions go. None of them blocks.
 struct endpoints_outlets {
-    std::function<void(endpoint_list)> publishEndpoints;
+    std::function<void(const publish_endpoints&)> publishEndpoints;
     std::function<void(const load_report&)> publishLoad;
     std::function<void(const Common::endpoint_id&)> tellPeersLeaving;
     std::function<void(const std::vector<instance_info>&)> tellPeersInstances;
--- a/Source/Core/Limits/Admission.cpp
+++ b/Source/Core/Limits/Admission.cpp
@@ -59,7 +59,7 @@
         return failure { failure_kind::AccountLimit, account.value, run_state::NotRun, shortestRetrySeconds };
     const auto target = work.kind == Configuration::class_kind::Model ? work.firstTokenTarget : work.answerTarget;
     const double limit = std::chrono::duration<double>(target).count() * toleratedTargetFactor;
-    if (!predicted.meetsTarget && predicted.firstTokenSeconds > limit)
+    if (state.settings.refusesLate && !predicted.meetsTarget && predicted.firstTokenSeconds > limit)
         return failure { failure_kind::Overloaded, work.name.value, run_state::NotRun, retryAfter(predicted.firstTokenSeconds - limit) };
     return std::nullopt;
 }
--- a/Source/Core/Limits/Admission.h
+++ b/Source/Core/Limits/Admission.h
@@ -13,6 +13,7 @@
 
 struct admission_settings {
     uint32_t maxInFlight { 2000 }; ///< Requests that this node holds at once.
+    bool refusesLate { true }; ///< Whether a request that would miss its target by far is refused.
 };
 
 struct admission_state {
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -12,13 +12,20 @@
     /// Traffic across regions is paid by volume: micro money for one typical answer.
     constexpr double crossRegionCostMicro = 40.0;
     constexpr double secondsPerHour = 3600.0;
-    /// A prediction may use this share of the target; the rest covers its error.
-    constexpr double targetShare = 0.8;
+    // The share of the target that a prediction may use; the rest covers its error.
+    constexpr double firstTargetShare = 0.6;
+    constexpr double lowestTargetShare = 0.25;
+    constexpr double highestTargetShare = 0.85;
+    constexpr double targetShareStep = 0.04;
+    constexpr double toleratedLateShare = 0.02;
     /// Costs within this factor of the cheapest count as equal.
     constexpr double equalCostFactor = 1.1;
     /// A decision looks at so many endpoints; with more, different decisions look at different ones.
     constexpr size_t maxExamined = 64;
     constexpr double learningRate = 0.1;
+    constexpr double slowLearningRate = 0.01;
+    constexpr double errorLearningRate = 0.15;
+    constexpr double plausibleFactor = 2.0;
     constexpr double shortestFirstTokenSeconds = 0.001;
     constexpr double ejectionFailureRate = 0.5;
     constexpr std::chrono::seconds firstEjection { 1 };
@@ -32,15 +39,16 @@
         return view.isInRegion ? sameRegionLinkSeconds : crossRegionLinkSeconds;
     }
 
-    double occupied(const endpoint_view& view)
+    double occupied(const router_state& state, const endpoint_view& view)
     {
         // The report lags, so what this node has sent since counts too.
-        return static_cast<double>(view.reportedRunning) + view.reportedWaiting + view.sentSinceReport;
+        // The other nodes see the same report and send about as much.
+        return static_cast<double>(view.reportedRunning) + view.reportedWaiting + view.sentSinceReport * state.sharingNodes;
     }
 
-    double queueSeconds(const endpoint_view& view)
+    double queueSeconds(const router_state& state, const endpoint_view& view)
     {
-        const double ahead = occupied(view) + 1 - view.slots;
+        const double ahead = occupied(state, view) + 1 - view.slots;
         return ahead <= 0 ? 0 : ahead / view.slots * view.answerSeconds;
     }
 
@@ -50,8 +58,10 @@
         const bool holdsPrefix = prefixHolder && *prefixHolder == view.info->id;
         const double prefill = view.firstTokenSeconds * (holdsPrefix ? cachedPrefixFactor : 1.0);
         const double occupiedSeconds = view.answerSeconds - view.firstTokenSeconds + prefill;
-        candidate item { index, 0, 0 };
-        item.firstTokenSeconds = linkSeconds(view) + queueSeconds(view) + prefill;
+        candidate item;
+        item.index = index;
+        item.errorSeconds = view.errorSeconds;
+        item.firstTokenSeconds = linkSeconds(view) + queueSeconds(state, view) + prefill;
         item.costMicro = view.costPerSlotSecond * std::max(occupiedSeconds, 0.0);
         if (!view.isInRegion)
             item.costMicro += crossRegionCostMicro;
@@ -150,18 +160,20 @@
         return second.firstTokenSeconds < first.firstTokenSeconds ? second : first;
     }
 
-    double targetSeconds(const Configuration::class_of_work& work)
+    double targetSeconds(const router_state& state, const Configuration::class_of_work& work)
     {
+        const auto learned = state.targetShares.find(work.name);
+        const double share = learned == state.targetShares.end() ? firstTargetShare : learned->second;
         const bool isModel = work.kind == Configuration::class_kind::Model;
         const auto target = isModel ? work.firstTokenTarget : work.answerTarget;
-        return std::chrono::duration<double>(target).count() * targetShare;
+        return std::chrono::duration<double>(target).count() * share;
     }
 
     /// Keeps those of the candidates that are in the target and about as cheap as the cheapest.
     void keepEquallyCheap(std::vector<candidate>& items, double cheapest, double limit)
     {
         std::erase_if(items, [&](const candidate& item) {
-            return item.firstTokenSeconds > limit || item.costMicro > cheapest * equalCostFactor;
+            return item.firstTokenSeconds + item.errorSeconds > limit || item.costMicro > cheapest * equalCostFactor;
         });
     }
 
@@ -177,7 +189,7 @@
 
     routing_choice chooseCheapest(router_state& state, const routing_request& request, const index_list& list, Common::instant now)
     {
-        const double limit = targetSeconds(*request.work);
+        const double limit = targetSeconds(state, *request.work);
         const Common::endpoint_id* holder = findPrefixHolder(state, request.prefixHash);
         std::vector<candidate>& all = state.scratchCandidates;
         all.clear();
@@ -188,7 +200,7 @@
             const candidate& item = all.emplace_back(predict(state, index, holder));
             if (!fastest || item.firstTokenSeconds < fastest->firstTokenSeconds)
                 fastest = &item;
-            const bool isCheapest = item.firstTokenSeconds <= limit && (cheapest < 0 || item.costMicro < cheapest);
+            const bool isCheapest = item.firstTokenSeconds + item.errorSeconds <= limit && (cheapest < 0 || item.costMicro < cheapest);
             if (isCheapest && passesSlowStart(state, state.views[index], now))
                 cheapest = item.costMicro;
         }
@@ -231,9 +243,9 @@
         view.failureRate = ejectionFailureRate / 2;
     }
 
-    void learn(double& estimate, double sample)
+    void learn(double& estimate, double sample, double rate = learningRate)
     {
-        estimate += learningRate * (sample - estimate);
+        estimate += rate * (sample - estimate);
     }
 
 } // namespace
@@ -316,8 +328,19 @@
 
 void learnFirstToken(endpoint_view& view, double seconds, double predictedSeconds)
 {
+    learn(view.errorSeconds, std::max(0.0, seconds - predictedSeconds), errorLearningRate);
     const double predictedQueue = std::max(0.0, predictedSeconds - view.firstTokenSeconds);
-    learn(view.firstTokenSeconds, std::max(shortestFirstTokenSeconds, seconds - predictedQueue));
+    const double withoutQueue = std::max(shortestFirstTokenSeconds, seconds - predictedQueue);
+    // A much later token was waiting behind others: that is the error's part, not the prefill's.
+    const bool isPlausible = withoutQueue < view.firstTokenSeconds * plausibleFactor;
+    learn(view.firstTokenSeconds, withoutQueue, isPlausible ? learningRate : slowLearningRate);
+}
+
+void learnTargetShare(router_state& state, const Common::class_name& work, bool isLate)
+{
+    double& share = state.targetShares.try_emplace(work, firstTargetShare).first->second;
+    share += isLate ? -targetShareStep : targetShareStep * toleratedLateShare / (1 - toleratedLateShare);
+    share = std::clamp(share, lowestTargetShare, highestTargetShare);
 }
 
 endpoint_view* findView(router_state& state, const Common::endpoint_id& id)
@@ -335,7 +358,7 @@
     double freeSlots = 0;
     for (const uint32_t index : found->second) {
         const endpoint_view& view = state.views[index];
-        freeSlots += std::max(0.0, view.slots - occupied(view));
+        freeSlots += std::max(0.0, view.slots - occupied(state, view));
     }
     return static_cast<uint32_t>(freeSlots);
 }
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -32,6 +32,7 @@
     uint32_t inFlight { 0 }; ///< Attempts of this node under way.
     double firstTokenSeconds { 0.1 }; ///< Learned time to the first token without queueing.
     double answerSeconds { 1.0 }; ///< Learned time that a request occupies a slot.
+    double errorSeconds { 0.0 }; ///< Learned: how much later than predicted first tokens come here.
     double failureRate { 0.0 }; ///< Learned share of failed attempts.
     Common::instant firstSeen;
     Common::instant ejectedUntil;
@@ -46,6 +47,7 @@
 struct candidate {
     uint32_t index { 0 };
     double firstTokenSeconds { 0 };
+    double errorSeconds { 0 }; ///< Added when compared with the target.
     double costMicro { 0 };
 };
 
@@ -58,6 +60,9 @@
     std::map<std::string, std::vector<uint32_t>> byService; ///< Indexes into views.
     std::unordered_map<uint64_t, Common::endpoint_id> prefixHolders; ///< Who answered a prompt prefix last.
     uint32_t roundRobinNext { 0 };
+    /// By class: the share of the target that a prediction may use; falls with each late first token.
+    std::unordered_map<Common::class_name, double> targetShares;
+    double sharingNodes { 1 }; ///< Entry nodes that send to an endpoint, this one included.
     // Kept between decisions, so that a decision allocates nothing.
     std::vector<uint32_t> scratchIndexes;
     std::vector<candidate> scratchCandidates;
@@ -103,12 +108,16 @@
 /// Counts an attempt as ended and learns from it.
 void noteEnded(router_state& state, const Common::endpoint_id& id, const attempt_outcome& outcome, Common::instant now);
 
-/// Learns the time to the first token without the part that was predicted as queueing.
+/// Learns the time to the first token without the part that was predicted as queueing, and the prediction's error.
 /// @param view the endpoint.
 /// @param seconds as measured from the attempt's begin.
 /// @param predictedSeconds as predicted then.
 void learnFirstToken(endpoint_view& view, double seconds, double predictedSeconds);
 
+/// Learns how much of a class's target predictions may use, so that about 97 in 100 first tokens are in time.
+/// @param isLate whether the first token came later than the class's target.
+void learnTargetShare(router_state& state, const Common::class_name& work, bool isLate);
+
 /// @return the view of an endpoint, or nothing when it is not on the list.
 endpoint_view* findView(router_state& state, const Common::endpoint_id& id);
 
--- a/Source/Filbertreeld/Node.cpp
+++ b/Source/Filbertreeld/Node.cpp
@@ -146,9 +146,9 @@
     Endpoints::endpoints_outlets makeEndpointsOutlets()
     {
         Endpoints::endpoints_outlets outlets;
-        outlets.publishEndpoints = [this](Endpoints::endpoint_list usable) {
-            static_cast<void>(dispatch.submit(Dispatch::endpoints_published { usable }));
-            static_cast<void>(entry.submit(Entry::endpoints_changed { std::move(usable) }));
+        outlets.publishEndpoints = [this](const Endpoints::publish_endpoints& published) {
+            static_cast<void>(dispatch.submit(Dispatch::endpoints_published { published.usable, published.sharingNodes }));
+            static_cast<void>(entry.submit(Entry::endpoints_changed { published.usable }));
         };
         outlets.publishLoad = [this](const Endpoints::load_report& report) { static_cast<void>(dispatch.submit(Dispatch::load_published { report })); };
         outlets.tellPeersLeaving = [this](const Common::endpoint_id& id) { static_cast<void>(peers.submit(Membership::push_leaving { id })); };
