Rollout verbs with progress; slow callers and stopped senders tested

Change: filbertreel rollout start, watch and take-back; golden session slow-caller (pause, no stall, resume); three senders that stop in the middle.

--- a/Source/Filbertreel/Main.cpp
+++ b/Source/Filbertreel/Main.cpp
@@ -5,8 +5,10 @@
 #include "Filbertreel/Client.h"
 #include "Filbertreel/Print.h"
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
+#include <thread>
 
 #include <CLI/CLI.hpp>
 
@@ -153,6 +155,65 @@
     });
 }
 
+/// Prints a line whenever the state changes or some seconds have passed, until the rollout has ended.
+int watchRollout(const command_options& options, const std::string& service, const std::string& version)
+{
+    constexpr std::chrono::seconds pollInterval { 1 };
+    constexpr int linesEvery = 10;
+    for (int polls = 0;; ++polls) {
+        const auto answer = get(options.connection, "/operator/v1/configuration");
+        if (!answer)
+            return printFailure(answer.error());
+        const auto& versions = answer->at("versions");
+        const auto found = std::find_if(versions.begin(), versions.end(), [&](const ordered_json& item) {
+            return item.at("service") == service && item.at("name") == version;
+        });
+        if (found == versions.end()) {
+            std::cerr << "filbertreel: no version " << version << " of " << service << "\n";
+            return Filbertreel::exitRefused;
+        }
+        const bool hasEnded = found->at("state") != "taking_over";
+        if (hasEnded && options.isJson)
+            std::cout << found->dump() << "\n";
+        if (hasEnded && !options.isJson)
+            std::cout << service << " " << version << ": " << found->at("state").get<std::string>() << ", " << found->at("cause").get<std::string>() << "\n";
+        if (hasEnded)
+            return found->at("state") == "current" ? Filbertreel::exitOk : Filbertreel::exitRefused;
+        const int64_t left = (found->at("deadline_ms").get<int64_t>() - wallMilliseconds()) / millisecondsPerSecond;
+        if (polls % linesEvery == 0)
+            std::cerr << service << " " << version << ": taking over, " << left << " s to the deadline\n";
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+int startRollout(command_options& options, const std::string& state)
+{
+    options.body["state"] = state;
+    options.body["started_at_ms"] = wallMilliseconds();
+    options.body["deadline_ms"] = wallMilliseconds() + options.deadlineSeconds * millisecondsPerSecond;
+    return propose(options, "version", false);
+}
+
+void addRolloutCommands(CLI::App& app, command_options& options, int& code)
+{
+    CLI::App* group = app.add_subcommand("rollout", "Start, watch and take back a new version");
+    group->require_subcommand(1);
+    const auto add = [&](const std::string& name, const std::string& help) {
+        CLI::App* verb = group->add_subcommand(name, help);
+        addMember<std::string>(*verb, "service", options.body, "service", "Model or service", true);
+        addMember<std::string>(*verb, "version", options.body, "name", "Name of the version", true);
+        addChangeOptions(*verb, options);
+        return verb;
+    };
+    CLI::App* start = add("start", "Let a version take over by its deadline, or be taken back");
+    start->add_option("--deadline-s", options.deadlineSeconds, "Seconds until it must have taken over")->required();
+    start->callback([&options, &code] { code = startRollout(options, "taking_over"); });
+    CLI::App* watch = add("watch", "Wait for the end; exit code 0 when it took over, 1 when it was taken back");
+    watch->callback([&options, &code] { code = watchRollout(options, options.body["service"], options.body["name"]); });
+    CLI::App* takeBack = add("take-back", "Withdraw a version at once");
+    takeBack->callback([&options, &code] { code = startRollout(options, "taken_back"); });
+}
+
 void addQueries(CLI::App& app, command_options& options, int& code)
 {
     CLI::App* status = app.add_subcommand("status", "What a node knows of itself, its peers and the endpoints");
@@ -186,6 +247,7 @@
     addClassCommands(app, options, code);
     addAccountCommands(app, options, code);
     addVersionCommands(app, options, code);
+    addRolloutCommands(app, options, code);
     addQueries(app, options, code);
     try {
         app.parse(argc, argv);
--- a/Tests/Golden/Describe.cpp
+++ b/Tests/Golden/Describe.cpp
@@ -18,6 +18,13 @@
         return all;
     }
 
+    /// Long texts are shown by their length.
+    std::string shorten(const std::string& text)
+    {
+        constexpr size_t longestShown = 200;
+        return text.size() <= longestShown ? text : fmt::format("{} bytes", text.size());
+    }
+
     std::string_view nameOf(Http::transfer_end end)
     {
         constexpr std::string_view names[] = { "complete", "not_sent", "cut", "timed_out" };
@@ -51,7 +58,7 @@
         std::string operator()(const caller_request& item) const { return fmt::format("caller {} asks {} {}{}", item.token.value, item.work.name.value, item.path, item.idempotencyKey.empty() ? "" : " key " + item.idempotencyKey); }
         std::string operator()(const caller_resume& item) const { return fmt::format("caller {} comes back for {} after {}", item.token.value, item.request.value, item.afterPosition); }
         std::string operator()(const caller_written& item) const { return item.isAlive ? fmt::format("caller {} took {} bytes", item.token.value, item.bytes) : fmt::format("caller {} is gone", item.token.value); }
-        std::string operator()(const attempt_tokens& item) const { return fmt::format("attempt {} gives '{}'", item.attempt.value, join(item.texts)); }
+        std::string operator()(const attempt_tokens& item) const { return fmt::format("attempt {} gives '{}'", item.attempt.value, shorten(join(item.texts))); }
         std::string operator()(const attempt_ended& item) const { return fmt::format("attempt {} ended {} {} {}", item.attempt.value, nameOf(item.end), item.status, item.finishReason); }
         std::string operator()(const record_reply& item) const
         {
@@ -78,7 +85,7 @@
         std::string operator()(const pause_attempt& item) const { return fmt::format("pause attempt {}", item.attempt.value); }
         std::string operator()(const resume_attempt& item) const { return fmt::format("resume attempt {}", item.attempt.value); }
         std::string operator()(const send_stream_head& item) const { return fmt::format("caller {} gets the head of {} after {}", item.token.value, item.request.value, item.afterPosition); }
-        std::string operator()(const send_tokens& item) const { return fmt::format("caller {} gets {} from position {}: '{}'", item.token.value, item.request.value, item.firstPosition, join(item.texts)); }
+        std::string operator()(const send_tokens& item) const { return fmt::format("caller {} gets {} from position {}: '{}'", item.token.value, item.request.value, item.firstPosition, shorten(join(item.texts))); }
         std::string operator()(const send_stream_end& item) const { return fmt::format("caller {} gets the end of {}: {} after {} tokens", item.token.value, item.request.value, item.finishReason, item.tokenCount); }
         std::string operator()(const send_stream_failure& item) const { return fmt::format("caller {} gets the failure of {}: {}", item.token.value, item.request.value, describeFailure(item.reason)); }
         std::string operator()(const send_completion& item) const { return fmt::format("caller {} gets {} whole: '{}'", item.token.value, item.request.value, item.text); }
--- a/Tests/Golden/Sessions.cpp
+++ b/Tests/Golden/Sessions.cpp
@@ -81,6 +81,21 @@
         scene.tell("a", finished(1));
     }
 
+    void playSlowCaller(world& scene)
+    {
+        constexpr size_t nearlyFull = 200 * 1024;
+        scene.addNode("a");
+        scene.tell("a", summaryRequest(1));
+        scene.tell("a", attempt_tokens { { 1 }, { std::string(nearlyFull, 'x') } });
+        scene.remark("the caller takes nothing: the engine's stream is paused, and the silence is no stall");
+        scene.tell("a", attempt_tokens { { 1 }, { std::string(nearlyFull, 'y') } });
+        scene.pass(seconds(10));
+        scene.tell("a", dispatch_tick {});
+        scene.tell("a", caller_written { { 1 }, nearlyFull, true });
+        scene.tell("a", caller_written { { 1 }, nearlyFull, true });
+        scene.tell("a", finished(1));
+    }
+
     void playHandover(world& scene)
     {
         scene.addNode("a");
@@ -258,6 +273,7 @@
         { "not-sent-is-released", playNotSentIsReleased },
         { "offer-nobody-answers", playOfferNobodyAnswers },
         { "release-once-and-replayed", playReleaseOnceAndReplayed },
+        { "slow-caller", playSlowCaller },
         { "store-down", playStoreDown },
         { "summary-served", playSummaryServed },
         { "two-operators", playTwoOperators },
--- a/Tests/Promises/InputTest.cpp
+++ b/Tests/Promises/InputTest.cpp
@@ -4,6 +4,11 @@
 #include "Harness/Callers.h"
 
 #include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace {
 
@@ -15,10 +20,43 @@
     settings.basePort = 27000;
     settings.nodes = 1;
     settings.engines = 1;
-    settings.nodeOptions = { "--max-body-bytes", "4096" };
+    settings.nodeOptions = { "--max-body-bytes", "4096", "--read-timeout", "1000" };
     return settings;
 }
 
+/// A connection that sends some bytes by hand.
+class raw_connection {
+public:
+    explicit raw_connection(int port)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    }
+
+    ~raw_connection() { close(m_socket); }
+
+    void send(const std::string& bytes) const
+    {
+        static_cast<void>(!write(m_socket, bytes.data(), bytes.size()));
+    }
+
+    /// @return whether the node ends the connection within some seconds.
+    bool isEnded() const
+    {
+        constexpr int longestWait = 10000;
+        pollfd waiting { m_socket, POLLIN, 0 };
+        char byte = 0;
+        return poll(&waiting, 1, longestWait) == 1 && read(m_socket, &byte, 1) <= 0;
+    }
+
+private:
+    int m_socket;
+};
+
 } // namespace
 
 TEST_GROUP(Input)
@@ -74,6 +112,21 @@
     LONGS_EQUAL(200, call("GET", target.nodeUrl(1) + "/healthz", "").status);
 }
 
+TEST(Input, SendersThatStopInTheMiddleAreCutOffAndTheNodeGoesOn)
+{
+    const char* beginnings[] = {
+        "",
+        "POST /v1/chat/comp",
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{\"mod",
+    };
+    for (const char* bytes : beginnings) {
+        const raw_connection slow(target.settings().basePort + 101);
+        slow.send(bytes);
+        CHECK(slow.isEnded());
+        LONGS_EQUAL(200, call("GET", target.nodeUrl(1) + "/healthz", "").status);
+    }
+}
+
 TEST(Input, AProposalWithMistakesNamesThemAll)
 {
     const http_answer answer = target.propose(1, { { "kind", "class" }, { "body", { { "name", "" }, { "priority", 99 } } } });
