Nodes cut off from their peers: relays between real nodes, one closed and all closed

Cause: cuts and their heal were proved by unit tests only.

Change: a TCP relay stand-in before each node's peer port; two process tests.

A node that hears nobody still takes changes from the table and its view of the others does not spread; four nodes alone come together after the heal.

Not proved: cuts with latency or loss, regions.

--- a/Tests/Harness/Cluster.cpp
+++ b/Tests/Harness/Cluster.cpp
@@ -21,6 +21,7 @@
     constexpr int engineOffset = 200;
     constexpr int ledgerOffset = 300;
     constexpr int peerOffset = 500;
+    constexpr int relayOffset = 700;
     constexpr std::string_view operatorKey = "test-operator-key";
 
     const char* zoneOf(int number)
@@ -83,6 +84,8 @@
         killProcess(child);
     for (auto& [number, child] : m_ledgers)
         killProcess(child);
+    for (auto& [number, child] : m_relays)
+        killProcess(child);
     killProcess(m_cloud);
     killProcess(m_table);
     if (!std::getenv("KEEP_LOGS"))
@@ -101,11 +104,24 @@
         startEngine(number);
     for (int number = 1; number <= m_settings.ledgers; ++number)
         startLedger(number);
+    for (int number = 1; number <= m_settings.nodes && m_settings.hasRelays; ++number)
+        startRelay(number);
     for (int number = 1; number <= m_settings.nodes; ++number)
         startNode(number);
     configure();
 }
 
+int cluster::peerPort(int number) const
+{
+    return m_settings.basePort + number + (m_settings.hasRelays ? relayOffset : peerOffset);
+}
+
+void cluster::startRelay(int number)
+{
+    const std::vector<std::string> arguments { STANDIN_PROGRAM, "relay", "--port", std::to_string(peerPort(number)), "--target-port", std::to_string(m_settings.basePort + peerOffset + number) };
+    m_relays[number] = startProcess(arguments, {}, m_logFolder + "/relay-" + std::to_string(number) + ".log");
+}
+
 void cluster::startNode(int number)
 {
     const int seed = number == 1 ? 2 : 1;
@@ -116,7 +132,8 @@
         "--region", "midlands",
         "--http-listen", nodeUrl(number).substr(7),
         "--peer-listen", localUrl(m_settings.basePort + peerOffset + number).substr(7),
-        "--peer", localUrl(m_settings.basePort + peerOffset + seed).substr(7),
+        "--peer-advertise", localUrl(peerPort(number)).substr(7),
+        "--peer", localUrl(peerPort(seed)).substr(7),
         "--table-url", tableUrl(),
         "--cloud-url", cloudUrl(),
         "--operator-key", std::string(operatorKey)
--- a/Tests/Harness/Cluster.h
+++ b/Tests/Harness/Cluster.h
@@ -21,6 +21,7 @@
     int nodes { 3 };
     int engines { 3 };
     int ledgers { 1 };
+    bool hasRelays { false }; ///< Peers reach each node through a relay that can be closed.
     int engineSlots { 8 };
     std::vector<std::string> nodeOptions; ///< Further flags of every node.
     std::vector<std::string> engineOptions;
@@ -49,8 +50,11 @@
     void startNode(int number);
     void startEngine(int number);
     void startLedger(int number);
+    /// Lets peers reach a node again after its relay was killed.
+    void startRelay(int number);
     process& node(int number) { return m_nodes[number]; }
     process& engine(int number) { return m_engines[number]; }
+    process& relay(int number) { return m_relays[number]; }
     process& ledger(int number) { return m_ledgers[number]; }
 
     std::string nodeUrl(int number) const;
@@ -80,6 +84,7 @@
     std::map<std::string, uint64_t> ledgerRuns() const;
 
 private:
+    int peerPort(int number) const;
     void configure();
 
     cluster_settings m_settings;
@@ -87,6 +92,7 @@
     std::string m_accountKey;
     process m_table;
     process m_cloud;
+    std::map<int, process> m_relays;
     std::map<int, process> m_nodes;
     std::map<int, process> m_engines;
     std::map<int, process> m_ledgers;
--- a/Tests/Promises/NodesTest.cpp
+++ b/Tests/Promises/NodesTest.cpp
@@ -20,6 +20,7 @@
     settings.basePort = 26000;
     settings.nodes = 4;
     settings.engines = 1;
+    settings.hasRelays = true;
     settings.nodeOptions = { "--probe-interval", "300", "--address-ttl", "500", "--notice", "4000" };
     return settings;
 }
@@ -79,6 +80,39 @@
         CHECK(statusAt(2, number) == "alive");
 }
 
+TEST(Nodes, ANodeThatHearsNoPeerStillGetsChangesAndComesBack)
+{
+    constexpr int inForceEverywhere = 13000;
+    CHECK(waitForStatus(3, "alive"));
+    killProcess(target.relay(3));
+    const nlohmann::json item { { "name", "during-the-cut" }, { "service", "m" } };
+    LONGS_EQUAL(200, target.propose(1, { { "kind", "class" }, { "body", item } }).status);
+    CHECK(target.waitForVersion(5, inForceEverywhere));
+    // Long enough for node 3 to think the others dead; they must not believe it of each other.
+    std::this_thread::sleep_for(std::chrono::milliseconds(12000));
+    CHECK(statusAt(1, 2) == "alive" && statusAt(2, 4) == "alive" && statusAt(4, 1) == "alive");
+    target.startRelay(3);
+    for (int number = 1; number <= 4; ++number)
+        CHECK(waitForStatus(number, "alive"));
+}
+
+TEST(Nodes, ASideThatIsCutOffAsAWholeComesTogetherAgain)
+{
+    CHECK(waitForStatus(3, "alive"));
+    for (int number = 1; number <= 4; ++number)
+        killProcess(target.relay(number));
+    // Nobody hears anybody: every node is alone, serves, and takes changes from the table.
+    std::this_thread::sleep_for(std::chrono::milliseconds(12000));
+    CHECK(statusAt(1, 2) == "dead");
+    const nlohmann::json item { { "name", "alone" }, { "service", "m" } };
+    LONGS_EQUAL(200, target.propose(2, { { "kind", "class" }, { "body", item } }).status);
+    CHECK(target.waitForVersion(5, 13000));
+    for (int number = 1; number <= 4; ++number)
+        target.startRelay(number);
+    for (int number = 1; number <= 4; ++number)
+        CHECK(waitForStatus(number, "alive"));
+}
+
 TEST(Nodes, ALeavingNodeDropsOutOfTheAddressAnswersAtOnce)
 {
     CHECK(waitForStatus(1, "alive"));
--- a/Tests/StandIns/Main.cpp
+++ b/Tests/StandIns/Main.cpp
@@ -22,10 +22,12 @@
     app.add_option("--prefill-ms", settings.prefillMilliseconds);
     app.add_option("--token-ms", settings.tokenMilliseconds);
     app.add_option("--tokens", settings.defaultTokens);
+    app.add_option("--target-port", settings.targetPort);
     app.add_subcommand("table")->callback([&] { StandIns::runTable(settings); });
     app.add_subcommand("cloud")->callback([&] { StandIns::runCloud(settings); });
     app.add_subcommand("engine")->callback([&] { StandIns::runEngine(settings); });
     app.add_subcommand("service")->callback([&] { StandIns::runService(settings); });
+    app.add_subcommand("relay")->callback([&] { StandIns::runRelay(settings); });
     CLI11_PARSE(app, argc, argv);
     return 0;
 }
--- /dev/null
+++ b/Tests/StandIns/Relay.cpp
@@ -0,0 +1,87 @@
+/// @file
+/// A TCP relay before one port, which a test closes and opens to cut a node off from what its peers send.
+
+#include "StandIns/StandIns.h"
+
+#include <array>
+#include <memory>
+
+#include <asio.hpp>
+
+namespace StandIns {
+
+namespace {
+
+    using asio::ip::tcp;
+
+    /// Copies bytes in both directions until either side closes.
+    class relayed_connection : public std::enable_shared_from_this<relayed_connection> {
+    public:
+        relayed_connection(tcp::socket&& near, tcp::socket&& far)
+            : m_near(std::move(near))
+            , m_far(std::move(far))
+        {
+        }
+
+        void begin()
+        {
+            copy(m_near, m_far, m_forth);
+            copy(m_far, m_near, m_back);
+        }
+
+    private:
+        using byte_buffer = std::array<char, 16384>;
+
+        void copy(tcp::socket& from, tcp::socket& to, byte_buffer& bytes)
+        {
+            auto self = shared_from_this();
+            from.async_read_some(asio::buffer(bytes), [this, self, &from, &to, &bytes](const asio::error_code& error, size_t count) {
+                if (error)
+                    return end();
+                asio::async_write(to, asio::buffer(bytes.data(), count), [this, self, &from, &to, &bytes](const asio::error_code& writeError, size_t) {
+                    if (writeError)
+                        return end();
+                    copy(from, to, bytes);
+                });
+            });
+        }
+
+        void end()
+        {
+            asio::error_code ignored;
+            m_near.close(ignored);
+            m_far.close(ignored);
+        }
+
+        tcp::socket m_near;
+        tcp::socket m_far;
+        byte_buffer m_forth {};
+        byte_buffer m_back {};
+    };
+
+    void accept(tcp::acceptor& acceptor, const tcp::endpoint& target)
+    {
+        acceptor.async_accept([&acceptor, target](const asio::error_code& error, tcp::socket near) {
+            if (error)
+                return;
+            tcp::socket far(acceptor.get_executor());
+            asio::error_code connectError;
+            far.connect(target, connectError);
+            if (!connectError)
+                std::make_shared<relayed_connection>(std::move(near), std::move(far))->begin();
+            accept(acceptor, target);
+        });
+    }
+
+} // namespace
+
+void runRelay(const stand_in_settings& settings)
+{
+    asio::io_context context { 1 };
+    const auto loopback = asio::ip::address_v4::loopback();
+    tcp::acceptor acceptor(context, tcp::endpoint(loopback, settings.http.port));
+    accept(acceptor, tcp::endpoint(loopback, settings.targetPort));
+    context.run();
+}
+
+} // namespace StandIns
--- a/Tests/StandIns/StandIns.h
+++ b/Tests/StandIns/StandIns.h
@@ -17,6 +17,7 @@
     int64_t prefillMilliseconds { 20 };
     int64_t tokenMilliseconds { 10 };
     uint32_t defaultTokens { 64 };
+    uint16_t targetPort { 0 }; ///< Of the relay.
 };
 
 /// Serves the table service until the process ends.
@@ -27,6 +28,8 @@
 void runEngine(const stand_in_settings& settings);
 /// Serves a plain service until the process ends.
 void runService(const stand_in_settings& settings);
+/// Relays connections to another port until the process ends.
+void runRelay(const stand_in_settings& settings);
 
 /// @param prompt the texts of all messages, joined.
 /// @param position counts from zero.
