--- a/Benchmarks/CapacityCluster.cpp
+++ b/Benchmarks/CapacityCluster.cpp
@@ -2,11 +2,12 @@
 /// Runs growing numbers of idle nodes on loopback and reads from their own counters what control costs each:
 /// processor time, memory and bytes to peers, to the cloud, to engines and to the table service.
 
-#include "Harness/Cluster.h"
+#include "Harness/Callers.h"
 
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <numeric>
 #include <sstream>
@@ -123,11 +124,41 @@
     std::cout << line.dump() << std::endl;
 }
 
+/// What the table service counts for a hundred requests of each kind.
+void measureStoreCost()
+{
+    constexpr int count = 100;
+    cluster_settings settings;
+    settings.basePort = 28000;
+    cluster target(settings);
+    target.start();
+    const auto counters = [&target] { return target.control(target.tableUrl(), nlohmann::json::object()); };
+    const auto measureKind = [&](const std::string& kind, const std::function<void(int)>& request) {
+        const auto before = counters();
+        const auto begun = std::chrono::steady_clock::now();
+        for (int index = 0; index < count; ++index)
+            request(index);
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        const auto after = counters();
+        const double idleReads = 0.2 * settings.nodes * std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+        const double writes = after["writes"].get<double>() - before["writes"].get<double>();
+        const double reads = after["reads"].get<double>() - before["reads"].get<double>();
+        std::cout << nlohmann::ordered_json { { "kind", kind }, { "writes_each", writes / count }, { "reads_each", (reads - idleReads) / count } }.dump() << std::endl;
+    };
+    measureKind("release", [&](int index) { releaseCrates(target, "k" + std::to_string(index), "{}", 1 + index % 3, 1); });
+    measureKind("repeated release", [&](int index) { releaseCrates(target, "k" + std::to_string(index), "{}", 1 + (index + 1) % 3, 1); });
+    measureKind("summary", [&](int index) { streamChat(target, { "summary " + std::to_string(index), 4, 1 + index % 3, 10000, {} }); });
+    measureKind("configuration change", [&](int index) {
+        target.propose(1 + index % 3, { { "kind", "class" }, { "body", { { "name", "c" + std::to_string(index) }, { "service", "m" } } } });
+    });
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     const int seconds = argc > 1 ? std::atoi(argv[1]) : 15;
+    measureStoreCost();
     for (int index = 2; index + 1 < argc; index += 2)
         measure(std::atoi(argv[index]), std::atoi(argv[index + 1]), seconds);
     return 0;
--- a/Tests/Faults/Driver.cpp
+++ b/Tests/Faults/Driver.cpp
@@ -5,6 +5,7 @@
 #include "Common/Random.h"
 #include "Harness/Callers.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
@@ -43,6 +44,13 @@
 struct release_record {
     std::string key;
     call_result result;
+    steady::time_point endedAt;
+};
+
+/// From the cause of a fault, or of two, to the repair.
+struct fault_period {
+    steady::time_point causedAt;
+    steady::time_point repairedAt;
 };
 
 struct node_kill {
@@ -56,6 +64,7 @@
     std::vector<release_record> releases;
     std::vector<node_kill> kills;
     std::map<std::string, int> faults;
+    std::vector<fault_period> periods;
     int ungracefulStops { 0 };
 };
 
@@ -84,6 +93,7 @@
         release_record record;
         record.key = "release-" + std::to_string(caller) + "-" + std::to_string(count);
         record.result = releaseCrates(target, record.key, "{}", 1 + static_cast<int>(Common::uniformBelow(random, 3)), mostTries, 1500);
+        record.endedAt = steady::now();
         std::unique_lock lock(records.mutex);
         records.releases.push_back(std::move(record));
         lock.unlock();
@@ -159,7 +169,8 @@
 {
     constexpr uint32_t shortestFault = 300;
     constexpr uint32_t faultSpread = 2200;
-    constexpr uint32_t pauseSpread = 900;
+    constexpr uint32_t shortestPause = 1000;
+    constexpr uint32_t pauseSpread = 1500;
     Common::random_source random(options.seed);
     const uint32_t choices = std::size(plannedFaults) + (options.hasNodeKills ? 2 : 0);
     const auto pick = [&]() -> const fault& {
@@ -173,6 +184,7 @@
         const int secondNumber = firstNumber % 3 + 1;
         const bool isPair = Common::uniformBelow(random, 2) == 0 && &first != &second;
         const uint32_t lasting = shortestFault + Common::uniformBelow(random, faultSpread);
+        const auto causedAt = steady::now();
         ++records.faults[first.name];
         first.cause(target, records, firstNumber);
         if (isPair) {
@@ -183,7 +195,8 @@
         first.repair(target, records, firstNumber);
         if (isPair)
             second.repair(target, records, secondNumber);
-        std::this_thread::sleep_for(milliseconds(Common::uniformBelow(random, pauseSpread)));
+        records.periods.push_back({ causedAt, steady::now() });
+        std::this_thread::sleep_for(milliseconds(shortestPause + Common::uniformBelow(random, pauseSpread)));
     }
 }
 
@@ -229,7 +242,46 @@
     return counts;
 }
 
-nlohmann::ordered_json summarize(const run_records& records, const breach_counts& breaches, const run_options& options)
+int confirmedBetween(const run_records& records, steady::time_point from, steady::time_point until)
+{
+    return static_cast<int>(std::count_if(records.releases.begin(), records.releases.end(), [&](const release_record& record) {
+        return record.result.status == 200 && record.endedAt >= from && record.endedAt < until;
+    }));
+}
+
+/// Seconds from each repair until a window of half a second confirms four fifths of what the windows before the first
+/// fault did; windows in which the next fault has begun are not counted, nor repairs with
+/// less than a second to the next fault or to the end.
+std::vector<double> measureRecovery(const run_records& records, steady::time_point begun, steady::time_point end, int& measured)
+{
+    constexpr milliseconds shortestLook { 1000 };
+    constexpr milliseconds window { 500 };
+    constexpr milliseconds windowStep { 100 };
+    constexpr double recoveredShare = 0.8;
+    measured = 0;
+    std::vector<double> seconds;
+    if (records.periods.empty())
+        return seconds;
+    const auto quiet = records.periods.front().causedAt - begun;
+    const double usual = confirmedBetween(records, begun, records.periods.front().causedAt) / (std::chrono::duration<double>(quiet) / window);
+    for (size_t index = 0; index < records.periods.size(); ++index) {
+        const auto repaired = records.periods[index].repairedAt;
+        const auto last = index + 1 < records.periods.size() ? records.periods[index + 1].causedAt : end;
+        if (last - repaired < shortestLook)
+            continue;
+        ++measured;
+        for (auto at = repaired; at + window <= last; at += windowStep) {
+            if (confirmedBetween(records, at, at + window) < usual * recoveredShare)
+                continue;
+            seconds.push_back(std::chrono::duration<double>(at - repaired).count());
+            break;
+        }
+    }
+    std::sort(seconds.begin(), seconds.end());
+    return seconds;
+}
+
+nlohmann::ordered_json summarize(const run_records& records, const breach_counts& breaches, const run_options& options, steady::time_point begun)
 {
     nlohmann::ordered_json line { { "seed", options.seed }, { "seconds", options.seconds } };
     int reconnects = 0;
@@ -255,6 +307,12 @@
     line["false_not_run"] = breaches.falseNotRun;
     line["confirmed_without_run"] = breaches.confirmedWithoutRun;
     line["ungraceful_stops"] = records.ungracefulStops;
+    int measured = 0;
+    const std::vector<double> recovery = measureRecovery(records, begun, begun + std::chrono::seconds(options.seconds), measured);
+    line["recoveries_looked_at"] = measured;
+    line["recoveries_seen"] = recovery.size();
+    line["recovery_s_median"] = recovery.empty() ? -1 : recovery[recovery.size() / 2];
+    line["recovery_s_worst"] = recovery.empty() ? -1 : recovery.back();
     return line;
 }
 
@@ -266,17 +324,20 @@
     cluster target(settings);
     target.start();
     run_records records;
-    const auto end = steady::now() + std::chrono::seconds(options.seconds);
+    const auto begun = steady::now();
+    const auto end = begun + std::chrono::seconds(options.seconds);
     std::vector<std::thread> callers;
     for (int caller = 0; caller < streamCallers; ++caller)
         callers.emplace_back([&, caller] { streamUntil(target, records, caller, options.seed, end); });
     for (int caller = 0; caller < releaseCallers; ++caller)
         callers.emplace_back([&, caller] { releaseUntil(target, records, caller, options.seed, end); });
+    constexpr milliseconds quietAtFirst { 3000 };
+    std::this_thread::sleep_for(quietAtFirst);
     causeFaults(target, records, options, end);
     for (std::thread& caller : callers)
         caller.join();
     const breach_counts breaches = countBreaches(records, target.ledgerRuns());
-    std::cout << summarize(records, breaches, options).dump() << std::endl;
+    std::cout << summarize(records, breaches, options, begun).dump() << std::endl;
     if (std::getenv("SHOW_BREACHES")) {
         for (const stream_record& record : records.streams) {
             if (record.result.isAccepted && !isWholeAnswer(record.result, record.request))
--- a/scripts/fit_slopes.py
+++ b/scripts/fit_slopes.py
@@ -32,7 +32,7 @@
 
 def main():
     with open(sys.argv[1], encoding="utf-8") as lines:
-        rows = [json.loads(line) for line in lines]
+        rows = [row for row in map(json.loads, lines) if "nodes" in row]
     base_engines = rows[0]["engines"]
     by_nodes = [row for row in rows if row["engines"] == base_engines]
     by_engines = [row for row in rows if row["nodes"] == 7]
