--- a/Benchmarks/Measure.cpp
+++ b/Benchmarks/Measure.cpp
@@ -1,12 +1,10 @@
 #include "Measure.h"
 
-#include "Common/Hash.h"
+#include "FakeEngines.h"
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <map>
-#include <set>
 
 namespace Measure {
 
@@ -16,41 +14,14 @@
     using std::chrono::duration_cast;
 
     constexpr Common::instant epoch = Common::instant {} + std::chrono::hours(1);
-    constexpr uint32_t engineSlots = 8;
-    constexpr double prefillSeconds = 0.18;
-    constexpr double cachedPrefillSeconds = 0.05;
-    constexpr double tokenSeconds = 0.020;
-    constexpr double batchSlowdown = 0.5; ///< A full batch decodes this much slower.
-    constexpr size_t prefixCacheEntries = 24;
     constexpr uint32_t prefixGroups = 60;
     constexpr double reportInterval = 0.5;
     constexpr double reportLag = 0.3;
     constexpr double listLag = 2.0;
     constexpr double tickInterval = 0.05;
-    constexpr double crossRegionSeconds = 0.030;
-    constexpr double sameRegionSeconds = 0.001;
-    constexpr double crossRegionMicroPerToken = 0.018;
-    constexpr double secondsPerHour = 3600;
     constexpr double firstTokenTarget = 0.81;
-
-    struct fake_attempt {
-        size_t node { 0 };
-        Common::attempt_number number;
-        uint32_t prefix { 0 };
-        int tokens { 0 };
-        double beganAt { 0 };
-        double prefill { 0 };
-        double interval { 0 };
-        int given { 0 };
-    };
-
-    struct fake_engine {
-        Endpoints::instance_info info;
-        bool isRunning { true };
-        std::map<std::pair<size_t, uint64_t>, fake_attempt> running;
-        std::deque<fake_attempt> waiting;
-        std::deque<uint32_t> prefixes;
-    };
+    /// After the last arrival, for what is still in flight.
+    constexpr double tailSeconds = 60;
 
     struct fake_caller {
         double sentAt { 0 };
@@ -61,17 +32,6 @@
         uint32_t prefix { 0 };
     };
 
-    struct timed_event {
-        double at { 0 };
-        uint64_t order { 0 };
-        std::function<void()> run;
-
-        bool operator<(const timed_event& other) const
-        {
-            return at != other.at ? at > other.at : order > other.order;
-        }
-    };
-
     struct fake_node {
         Dispatch::dispatch_state state;
         std::string region;
@@ -83,8 +43,8 @@
             : m_profile(chosen)
             , m_options(options)
             , m_random(options.seed)
+            , m_engines(m_events, chosen, [this](size_t node, Dispatch::dispatch_message&& message) { tell(node, std::move(message)); })
         {
-            addEngines();
             addNodes();
         }
 
@@ -93,41 +53,11 @@
             scheduleArrivals();
             scheduleTicks();
             scheduleTroubles();
-            const double end = m_options.seconds + 60.0;
-            while (!m_events.empty() && m_events.top().at <= end) {
-                const timed_event event = m_events.top();
-                m_events.pop();
-                m_now = event.at;
-                event.run();
-            }
+            m_events.runUntil(m_options.seconds + tailSeconds);
             return finish();
         }
 
     private:
-        void at(double time, std::function<void()> run)
-        {
-            m_events.push({ time, ++m_order, std::move(run) });
-        }
-
-        void addEngines()
-        {
-            int number = 0;
-            for (const engine_group& group : m_profile.groups) {
-                for (int index = 0; index < group.count; ++index) {
-                    fake_engine engine;
-                    engine.info.id = { "engine-" + std::to_string(++number) };
-                    engine.info.service = "model";
-                    engine.info.address = engine.info.id.value;
-                    engine.info.zone = { group.zone };
-                    engine.info.region = { group.region };
-                    engine.info.pricePerHour = { group.pricePerHourMicro };
-                    engine.info.slots = engineSlots;
-                    engine.info.isReclaimable = group.isReclaimable;
-                    m_engines.push_back(std::move(engine));
-                }
-            }
-        }
-
         void addNodes()
         {
             Configuration::configuration config;
@@ -152,16 +82,12 @@
 
         Dispatch::clock_reading clock() const
         {
-            return { epoch + duration_cast<Common::duration>(duration<double>(m_now)), { static_cast<int64_t>(m_now * 1000) } };
+            return { epoch + duration_cast<Common::duration>(duration<double>(m_events.now())), { static_cast<int64_t>(m_events.now() * 1000) } };
         }
 
         void publishList()
         {
-            auto list = std::make_shared<std::vector<Endpoints::instance_info>>();
-            for (const fake_engine& engine : m_engines) {
-                if (engine.isRunning)
-                    list->push_back(engine.info);
-            }
+            const auto list = std::make_shared<const std::vector<Endpoints::instance_info>>(m_engines.list());
             for (size_t node = 0; node < m_nodes.size(); ++node)
                 tell(node, Dispatch::endpoints_published { list, static_cast<double>(m_nodes.size()) });
         }
@@ -170,9 +96,9 @@
         {
             for (Dispatch::dispatch_action& action : stepDispatch(m_nodes[node].state, std::move(message), clock())) {
                 if (const auto* start = std::get_if<Dispatch::start_attempt>(&action))
-                    startAttempt(node, *start);
+                    m_engines.start(node, *start);
                 else if (const auto* cancel = std::get_if<Dispatch::cancel_attempt>(&action))
-                    cancelAttempt(node, cancel->attempt);
+                    m_engines.cancel(node, cancel->attempt);
                 else if (const auto* tokens = std::get_if<Dispatch::send_tokens>(&action))
                     takeTokens(node, *tokens);
                 else if (const auto* end = std::get_if<Dispatch::send_stream_end>(&action))
@@ -200,7 +126,7 @@
             double time = 0;
             while (time < m_options.seconds) {
                 time += -std::log(1 - Common::uniformUnit(m_random)) / arrivalRate(time);
-                at(time, [this] { arrive(); });
+                m_events.at(time, [this] { arrive(); });
             }
         }
 
@@ -219,7 +145,7 @@
         {
             const uint64_t token = m_callers.size() + 1;
             fake_caller caller;
-            caller.sentAt = m_now;
+            caller.sentAt = m_events.now();
             caller.account = drawAccount();
             caller.tokens = 1 + static_cast<int>(-std::log(1 - Common::uniformUnit(m_random)) * m_profile.meanTokens);
             caller.tokens = std::min(caller.tokens, m_profile.meanTokens * 6);
@@ -243,7 +169,7 @@
             if (caller.hasFirstToken)
                 return;
             caller.hasFirstToken = true;
-            caller.isInTarget = m_now - caller.sentAt <= firstTokenTarget;
+            caller.isInTarget = m_events.now() - caller.sentAt <= firstTokenTarget;
         }
 
         void takeEnd(Common::caller_token token, bool isFailed)
@@ -259,177 +185,24 @@
             ++m_result.refused;
         }
 
-        // Engines
-
-        fake_engine* findEngine(const Common::endpoint_id& id)
-        {
-            for (fake_engine& engine : m_engines) {
-                if (engine.info.id == id)
-                    return &engine;
-            }
-            return nullptr;
-        }
-
-        double link(size_t node, const fake_engine& engine) const
-        {
-            return engine.info.region.value == m_nodes[node].region ? sameRegionSeconds : crossRegionSeconds;
-        }
-
-        void startAttempt(size_t node, const Dispatch::start_attempt& action)
-        {
-            fake_engine* engine = findEngine(action.endpoint);
-            const Common::attempt_number number = action.attempt;
-            if (!engine->isRunning) {
-                at(m_now + link(node, *engine), [this, node, number] { tell(node, Dispatch::attempt_ended { number, Http::transfer_end::NotSent, 0, {}, {} }); });
-                return;
-            }
-            const nlohmann::json body = nlohmann::json::parse(action.body);
-            fake_attempt attempt;
-            attempt.node = node;
-            attempt.number = number;
-            attempt.tokens = body["max_tokens"].get<int>();
-            attempt.prefix = static_cast<uint32_t>(std::stoul(body["messages"][0]["content"].get<std::string>().substr(7)));
-            at(m_now + link(node, *engine), [this, engine, attempt] {
-                engine->waiting.push_back(attempt);
-                serve(*engine);
-            });
-        }
-
-        bool touchPrefix(fake_engine& engine, uint32_t prefix)
-        {
-            const auto found = std::find(engine.prefixes.begin(), engine.prefixes.end(), prefix);
-            const bool isCached = found != engine.prefixes.end();
-            if (isCached)
-                engine.prefixes.erase(found);
-            engine.prefixes.push_back(prefix);
-            if (engine.prefixes.size() > prefixCacheEntries)
-                engine.prefixes.pop_front();
-            return isCached;
-        }
-
-        void serve(fake_engine& engine)
-        {
-            while (engine.isRunning && !engine.waiting.empty() && engine.running.size() < engineSlots) {
-                fake_attempt attempt = engine.waiting.front();
-                engine.waiting.pop_front();
-                const bool isCached = touchPrefix(engine, attempt.prefix);
-                (isCached ? m_result.promptsCached : m_result.promptsComputed) += 1;
-                const double load = static_cast<double>(engine.running.size()) / engineSlots;
-                attempt.beganAt = m_now;
-                attempt.prefill = isCached ? cachedPrefillSeconds : prefillSeconds;
-                attempt.interval = tokenSeconds * (1 + batchSlowdown * load);
-                const auto key = std::make_pair(attempt.node, attempt.number.value);
-                engine.running[key] = attempt;
-                at(m_now + attempt.prefill, [this, &engine, key] { giveFirstToken(engine, key); });
-                at(m_now + attempt.prefill + attempt.interval * attempt.tokens, [this, &engine, key] { finishAttempt(engine, key); });
-            }
-        }
-
-        /// Gives the tokens that are due by now and were not given yet.
-        void giveTokens(fake_engine& engine, fake_attempt& attempt, int due)
-        {
-            const int fresh = std::min(due, attempt.tokens) - attempt.given;
-            if (fresh <= 0)
-                return;
-            attempt.given += fresh;
-            at(m_now + link(attempt.node, engine), [this, node = attempt.node, number = attempt.number, fresh] {
-                tell(node, Dispatch::attempt_tokens { number, std::vector<std::string>(static_cast<size_t>(fresh), "t ") });
-            });
-        }
-
-        void giveFirstToken(fake_engine& engine, const std::pair<size_t, uint64_t>& key)
-        {
-            const auto found = engine.running.find(key);
-            if (found == engine.running.end())
-                return;
-            giveTokens(engine, found->second, 1);
-            scheduleMore(engine, key);
-        }
-
-        /// Tokens come in small groups, often enough for the node's stall detection.
-        void scheduleMore(fake_engine& engine, const std::pair<size_t, uint64_t>& key)
-        {
-            constexpr double groupSeconds = 0.5;
-            at(m_now + groupSeconds, [this, &engine, key] {
-                const auto found = engine.running.find(key);
-                if (found == engine.running.end())
-                    return;
-                fake_attempt& attempt = found->second;
-                giveTokens(engine, attempt, static_cast<int>((m_now - attempt.beganAt - attempt.prefill) / attempt.interval));
-                scheduleMore(engine, key);
-            });
-        }
-
-        void payFor(const fake_engine& engine, const fake_attempt& attempt)
-        {
-            m_result.costMicro += (m_now - attempt.beganAt) * static_cast<double>(engine.info.pricePerHour.value) / secondsPerHour / engineSlots;
-            if (engine.info.region.value != m_nodes[attempt.node].region)
-                m_result.costMicro += attempt.given * crossRegionMicroPerToken;
-        }
-
-        void finishAttempt(fake_engine& engine, const std::pair<size_t, uint64_t>& key)
-        {
-            const auto found = engine.running.find(key);
-            if (found == engine.running.end())
-                return;
-            fake_attempt attempt = found->second;
-            giveTokens(engine, attempt, attempt.tokens);
-            payFor(engine, attempt);
-            engine.running.erase(found);
-            at(m_now + link(attempt.node, engine), [this, attempt] {
-                tell(attempt.node, Dispatch::attempt_ended { attempt.number, Http::transfer_end::Complete, 200, {}, "stop" });
-            });
-            serve(engine);
-        }
-
-        void cancelAttempt(size_t node, Common::attempt_number number)
-        {
-            for (fake_engine& engine : m_engines) {
-                const auto found = engine.running.find({ node, number.value });
-                if (found != engine.running.end()) {
-                    payFor(engine, found->second);
-                    engine.running.erase(found);
-                    serve(engine);
-                }
-                std::erase_if(engine.waiting, [&](const fake_attempt& attempt) { return attempt.node == node && attempt.number == number; });
-            }
-        }
-
-        void stopEngine(fake_engine& engine)
-        {
-            engine.isRunning = false;
-            std::vector<fake_attempt> cut(engine.waiting.begin(), engine.waiting.end());
-            for (auto& [key, attempt] : engine.running) {
-                giveTokens(engine, attempt, static_cast<int>((m_now - attempt.beganAt - attempt.prefill) / attempt.interval));
-                payFor(engine, attempt);
-                cut.push_back(attempt);
-            }
-            engine.running.clear();
-            engine.waiting.clear();
-            engine.prefixes.clear();
-            for (const fake_attempt& attempt : cut)
-                at(m_now + link(attempt.node, engine), [this, attempt] { tell(attempt.node, Dispatch::attempt_ended { attempt.number, Http::transfer_end::Cut, 200, {}, {} }); });
-        }
-
         // Reports, ticks and troubles
 
         void scheduleTicks()
         {
-            for (double time = 0; time < m_options.seconds + 60.0; time += tickInterval) {
-                at(time, [this] {
+            for (double time = 0; time < m_options.seconds + tailSeconds; time += tickInterval) {
+                m_events.at(time, [this] {
                     for (size_t node = 0; node < m_nodes.size(); ++node)
                         tell(node, Dispatch::dispatch_tick {});
                 });
             }
-            for (double time = 0; time < m_options.seconds + 60.0; time += reportInterval)
-                at(time, [this] { report(); });
+            for (double time = 0; time < m_options.seconds + tailSeconds; time += reportInterval)
+                m_events.at(time, [this] { report(); });
         }
 
         void report()
         {
-            for (const fake_engine& engine : m_engines) {
-                const Endpoints::load_report item { engine.info.id, static_cast<uint32_t>(engine.running.size()), static_cast<uint32_t>(engine.waiting.size()), false };
-                at(m_now + reportLag, [this, item] {
+            for (const Endpoints::load_report& item : m_engines.report()) {
+                m_events.at(m_events.now() + reportLag, [this, item] {
                     for (size_t node = 0; node < m_nodes.size(); ++node)
                         tell(node, Dispatch::load_published { item });
                 });
@@ -442,21 +215,14 @@
             const double reclaim = m_options.seconds * 0.35;
             const double comeBack = m_options.seconds * 0.50;
             const double priceChange = m_options.seconds * 0.60;
-            at(reclaim, [this, zone] {
-                for (fake_engine& engine : m_engines) {
-                    if (engine.info.zone.value == zone && engine.info.isReclaimable)
-                        stopEngine(engine);
-                }
-            });
-            at(reclaim + listLag, [this] { publishList(); });
-            at(comeBack, [this, zone] {
-                for (fake_engine& engine : m_engines)
-                    engine.isRunning = true;
+            m_events.at(reclaim, [this, zone] { m_engines.reclaimZone(zone); });
+            m_events.at(reclaim + listLag, [this] { publishList(); });
+            m_events.at(comeBack, [this] {
+                m_engines.restoreAll();
                 publishList();
             });
-            at(priceChange, [this] {
-                for (fake_engine& engine : m_engines)
-                    engine.info.pricePerHour = { engine.info.zone.value == m_profile.groups.front().zone ? engine.info.pricePerHour.value * 2 : engine.info.pricePerHour.value * 3 / 4 };
+            m_events.at(priceChange, [this, zone] {
+                m_engines.changePrices(zone);
                 publishList();
             });
         }
@@ -470,6 +236,9 @@
                 byAccount[caller.account].second += 1;
             }
             m_result.requests = m_callers.size();
+            m_result.costMicro = m_engines.totals().costMicro;
+            m_result.promptsComputed = m_engines.totals().promptsComputed;
+            m_result.promptsCached = m_engines.totals().promptsCached;
             for (const auto& [account, counts] : byAccount)
                 m_result.worstAccountInTarget = std::min(m_result.worstAccountInTarget, static_cast<double>(counts.first) / static_cast<double>(counts.second));
             for (const fake_node& node : m_nodes)
@@ -480,12 +249,10 @@
         profile m_profile;
         measure_options m_options;
         Common::random_source m_random;
-        std::vector<fake_engine> m_engines;
+        event_queue m_events;
+        fake_engines m_engines;
         std::vector<fake_node> m_nodes;
         std::vector<fake_caller> m_callers;
-        std::priority_queue<timed_event> m_events;
-        uint64_t m_order { 0 };
-        double m_now { 0 };
         measure_result m_result;
     };
 
--- a/Benchmarks/Measure.h
+++ b/Benchmarks/Measure.h
@@ -5,8 +5,6 @@
 
 #include "Dispatch/Dispatcher.h"
 
-#include <functional>
-#include <queue>
 #include <string>
 #include <vector>
 
--- a/Tests/Harness/Cluster.cpp
+++ b/Tests/Harness/Cluster.cpp
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <optional>
+#include <sstream>
 #include <thread>
 
 namespace Harness {
@@ -221,6 +223,13 @@
     });
 }
 
+std::string cluster::logText(const std::string& name) const
+{
+    std::ostringstream text;
+    text << std::ifstream(m_logFolder + "/" + name + ".log").rdbuf();
+    return text.str();
+}
+
 std::map<std::string, uint64_t> cluster::ledgerRuns() const
 {
     std::map<std::string, uint64_t> total;
--- a/Tests/Harness/Cluster.h
+++ b/Tests/Harness/Cluster.h
@@ -80,6 +80,8 @@
     bool waitFor(const std::string& url, int milliseconds = 10000) const;
     /// @return whether all nodes show at least this version within the time.
     bool waitForVersion(int64_t version, int milliseconds) const;
+    /// @return what a process has written to its log so far.
+    std::string logText(const std::string& name) const;
     /// @return how often each key ran at all ledgers together.
     std::map<std::string, uint64_t> ledgerRuns() const;
 
--- a/Tests/Promises/InputTest.cpp
+++ b/Tests/Promises/InputTest.cpp
@@ -5,8 +5,10 @@
 
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
+#include <fstream>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -127,6 +129,40 @@
     }
 }
 
+TEST(Input, LogsAreJsonLinesWithTypedEventsAndWithoutSecrets)
+{
+    const stream_request request { "a prompt that nobody should find in a log", 3, 1, 10000, {} };
+    const stream_result result = streamChat(target, request);
+    releaseCrates(target, "k", "{}", 1, 1);
+    const std::string log = target.logText("node-1");
+    CHECK(log.find(target.accountKey()) == std::string::npos);
+    CHECK(log.find("test-operator-key") == std::string::npos);
+    CHECK(log.find(request.prompt) == std::string::npos);
+    std::istringstream lines(log);
+    std::string line;
+    bool hasRequest = false;
+    while (std::getline(lines, line)) {
+        const auto entry = nlohmann::json::parse(line, nullptr, false);
+        CHECK(entry.is_object() && entry.contains("event") && entry.contains("time_ms") && entry.contains("level"));
+        hasRequest = hasRequest || entry.value("request", "") == result.requestId;
+    }
+    CHECK(hasRequest);
+}
+
+TEST(Input, BadSettingsAreAllNamedAtOnceAndEndTheProgram)
+{
+    constexpr int exitBadSettings = 2;
+    constexpr int longestWait = 5000;
+    const std::string log = "/tmp/filbertreel-settings-" + std::to_string(getpid()) + ".log";
+    process child = startProcess({ NODE_PROGRAM, "--node", "a.b", "--http-listen", "localhost:80", "--policy", "dearest", "--notice", "0" }, { "FILBERTREEL_MAX_IN_FLIGHT=0" }, log);
+    LONGS_EQUAL(exitBadSettings, waitForExit(child, longestWait));
+    std::ostringstream text;
+    text << std::ifstream(log).rdbuf();
+    unlink(log.c_str());
+    for (const char* setting : { "--node", "--zone", "--region", "--http-listen", "--peer-listen", "--table-url", "--cloud-url", "--policy", "--notice", "--max-in-flight" })
+        CHECK_TEXT(text.str().find(std::string("  ") + setting + ":") != std::string::npos, setting);
+}
+
 TEST(Input, AProposalWithMistakesNamesThemAll)
 {
     const http_answer answer = target.propose(1, { { "kind", "class" }, { "body", { { "name", "" }, { "priority", 99 } } } });
