Intervals stretch with the fleet; changes are pushed on every third link

Cause: docs/CAPACITY.md: at 400 nodes control came to 9.25 KB/s payload against 9, with intervals set by hand, and each change passed 18 links of a node.

Change: load polls stretch above 8 endpoints a node, the list above 200 instances, probes and suspicion above 200 members; with more than four links a change is pushed on every third (1, 8, 64: at most 24 hops to 400, unit test), and the version in the probes brings up what a lost push leaves behind.

Ruled out: pushing on the nearest link alone (400 hops).

--- a/Benchmarks/DecisionBenchmarks.cpp
+++ b/Benchmarks/DecisionBenchmarks.cpp
@@ -140,7 +140,7 @@
     Common::instant now = testStart;
     const Membership::member from = members.members.begin()->second;
     for (auto _ : state) {
-        now += members.settings.probeInterval;
+        now += 2 * members.settings.probeInterval;
         for (auto& [id, link] : members.links)
             link.lastHeard = now;
         benchmark::DoNotOptimize(stepMembership(members, Membership::membership_tick {}, now));
--- a/Source/Core/Endpoints/EndpointsDuty.cpp
+++ b/Source/Core/Endpoints/EndpointsDuty.cpp
@@ -56,14 +56,16 @@
 {
     if (now >= m_nextList && !m_isListing) {
         // The nodes of a region take turns: what one finds new or leaving it tells the others.
-        m_nextList = now + m_settings.listInterval * countListReaders(m_table);
+        const auto interval = stretchInterval(m_settings.listInterval, m_table.entries.size(), listPerInterval);
+        m_nextList = now + interval * countListReaders(m_table);
         pollList();
     }
     if (now < m_nextLoad)
         return;
-    m_nextLoad = now + m_settings.loadInterval;
+    const std::vector<instance_info> polled = listPolledHere(m_table);
+    m_nextLoad = now + stretchInterval(m_settings.loadInterval, polled.size(), pollsPerInterval);
     flushPeerLoads();
-    for (const instance_info& info : listPolledHere(m_table))
+    for (const instance_info& info : polled)
         pollLoad(info);
     // An unreachable endpoint becomes usable again by the passing of time alone.
     perform(publish_endpoints { listUsable(m_table, now), countSharingNodes(m_table) });
--- a/Source/Core/Endpoints/Sharding.cpp
+++ b/Source/Core/Endpoints/Sharding.cpp
@@ -33,6 +33,13 @@
     return static_cast<double>(Common::rendezvousScore(endpoint.value, node.value)) < share * hashRange;
 }
 
+std::chrono::milliseconds stretchInterval(std::chrono::milliseconds interval, size_t count, size_t perInterval)
+{
+    if (count <= perInterval)
+        return interval;
+    return interval * static_cast<int64_t>(count) / static_cast<int64_t>(perInterval);
+}
+
 Common::node_id choosePoller(const std::vector<poller>& pollers, const std::optional<Common::region_name>& region, const Common::endpoint_id& endpoint)
 {
     const Common::node_id inRegion = chooseAmong(pollers, region, endpoint);
--- a/Source/Core/Endpoints/Sharding.h
+++ b/Source/Core/Endpoints/Sharding.h
@@ -6,6 +6,7 @@
 
 #include "Common/Ids.h"
 
+#include <chrono>
 #include <optional>
 #include <vector>
 
@@ -32,4 +33,16 @@
 /// @return the node that polls it; empty without any poller.
 Common::node_id choosePoller(const std::vector<poller>& pollers, const std::optional<Common::region_name>& region, const Common::endpoint_id& endpoint);
 
+/// Endpoints whose load is read in one interval without stretching it.
+constexpr size_t pollsPerInterval = 8;
+/// Instances on the cloud's list up to which it is read at its own interval.
+constexpr size_t listPerInterval = 200;
+
+/// Stretches an interval, so that a larger fleet costs a node no more bytes.
+/// @param interval what is set.
+/// @param count how many things are read at each interval.
+/// @param perInterval how many may be read without stretching.
+/// @return the interval to use.
+std::chrono::milliseconds stretchInterval(std::chrono::milliseconds interval, size_t count, size_t perInterval);
+
 } // namespace Endpoints
--- a/Source/Core/Endpoints/Tests/EndpointTableTest.cpp
+++ b/Source/Core/Endpoints/Tests/EndpointTableTest.cpp
@@ -116,6 +116,17 @@
     }
 }
 
+TEST(EndpointTable, IntervalsStretchWithTheFleet)
+{
+    struct row {
+        size_t count;
+        int expected;
+    };
+    const row rows[] = { { 0, 500 }, { 8, 500 }, { 12, 750 }, { 32, 2000 } };
+    for (const row& item : rows)
+        LONGS_EQUAL(item.expected, stretchInterval(std::chrono::milliseconds(500), item.count, pollsPerInterval).count());
+}
+
 TEST(EndpointTable, APollerTellsTheNodesThatUseTheEndpoint)
 {
     endpoint_table table;
--- a/Source/Core/Membership/Members.cpp
+++ b/Source/Core/Membership/Members.cpp
@@ -161,10 +161,17 @@
         passOn(state, { state.self }, {}, output);
     }
 
+    /// A larger fleet is probed more slowly, so that it costs a node no more bytes.
+    std::chrono::milliseconds stretch(const membership_state& state, std::chrono::milliseconds time)
+    {
+        const auto members = static_cast<int64_t>(state.members.size() + 1);
+        return members <= state.settings.membersPerInterval ? time : time * members / state.settings.membersPerInterval;
+    }
+
     /// A node that was paused has heard nobody: that says nothing about the others.
     void forgiveOwnPause(membership_state& state, Common::instant now)
     {
-        const bool wasPaused = now - state.lastTick > 2 * state.settings.probeInterval;
+        const bool wasPaused = now - state.lastTick > stretch(state, 2 * state.settings.probeInterval);
         state.lastTick = now;
         if (!wasPaused)
             return;
@@ -179,7 +186,7 @@
         std::vector<member> changed;
         for (const auto& [id, link] : state.links) {
             const member& item = state.members.at(id);
-            const bool isSilent = now - link.lastHeard >= state.settings.suspectAfter;
+            const bool isSilent = now - link.lastHeard >= stretch(state, state.settings.suspectAfter);
             if (!isSilent || item.status == member_status::Suspect || item.status == member_status::Dead)
                 continue;
             member suspect = item;
@@ -193,7 +200,7 @@
     {
         std::vector<member> changed;
         for (const auto& [id, item] : state.members) {
-            if (item.status != member_status::Suspect || now - state.statusSince.at(id) < state.settings.deadAfter)
+            if (item.status != member_status::Suspect || now - state.statusSince.at(id) < stretch(state, state.settings.deadAfter))
                 continue;
             member dead = item;
             dead.status = member_status::Dead;
@@ -236,7 +243,7 @@
         dropForgotten(state, now);
         if (now < state.nextProbe)
             return;
-        state.nextProbe = now + state.settings.probeInterval;
+        state.nextProbe = now + stretch(state, state.settings.probeInterval);
         for (const auto& [id, link] : state.links)
             probe(state, state.members.at(id).peerAddress, output);
         probeOutside(state, output);
--- a/Source/Core/Membership/Members.h
+++ b/Source/Core/Membership/Members.h
@@ -91,6 +91,7 @@
     std::chrono::milliseconds suspectAfter { 3500 }; ///< Silence of a probed peer.
     std::chrono::milliseconds deadAfter { 5000 }; ///< Suspicion that nobody refutes.
     std::chrono::seconds deadRetention { 7200 }; ///< The dead are remembered, so that a healed cut is noticed.
+    int64_t membersPerInterval { 200 }; ///< Above so many members all times stretch with their number.
     uint32_t mismatchesBeforePull { 3 }; ///< Probes in a row with another digest.
 };
 
--- a/Source/Core/Membership/Overlay.cpp
+++ b/Source/Core/Membership/Overlay.cpp
@@ -39,6 +39,19 @@
     return links;
 }
 
+std::vector<Common::node_id> choosePushLinks(const Common::node_id& self, const member_map& members)
+{
+    constexpr size_t fewLinks = 4;
+    constexpr size_t everyThird = 3;
+    const std::vector<Common::node_id> links = chooseLinks(self, members);
+    if (links.size() <= fewLinks)
+        return links;
+    std::vector<Common::node_id> chosen;
+    for (size_t index = 0; index < links.size(); index += everyThird)
+        chosen.push_back(links[index]);
+    return chosen;
+}
+
 Common::node_id choosePeer(const member_map& members, const Common::node_id& self, const std::string& key, size_t rank)
 {
     std::vector<ring_point> scored;
--- a/Source/Core/Membership/Overlay.h
+++ b/Source/Core/Membership/Overlay.h
@@ -15,6 +15,12 @@
 /// @return the peers that this node is linked to, without repetition.
 std::vector<Common::node_id> chooseLinks(const Common::node_id& self, const member_map& members);
 
+/// With many links a change is pushed on every third of them: fewer copies for a few more hops.
+/// @param self this node.
+/// @param members all known members.
+/// @return the links for large facts, in order of distance.
+std::vector<Common::node_id> choosePushLinks(const Common::node_id& self, const member_map& members);
+
 /// @param members all known members.
 /// @param self never chosen.
 /// @param key what is to be placed.
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -129,7 +129,9 @@
     {
         envelope outgoing;
         encodeChanges(message.changes, *outgoing.mutable_configuration_changes());
-        sendToLinks(outgoing);
+        // What a lost push leaves behind, the version in the next probe brings up.
+        for (const Common::node_id& id : choosePushLinks(settings.self.id, state.members))
+            sendTo(id, outgoing);
     }
 
     void take(pull_changes&& message)
--- a/Source/Core/Membership/Tests/MembersTest.cpp
+++ b/Source/Core/Membership/Tests/MembersTest.cpp
@@ -90,6 +90,52 @@
     }
 }
 
+TEST(Members, PushLinksAreFewAndStillReachEverybody)
+{
+    struct row {
+        size_t nodes;
+        size_t mostLinks;
+        size_t mostHops;
+    };
+    const row rows[] = { { 7, 3, 3 }, { 50, 2, 16 }, { 400, 3, 24 } };
+    for (const row& item : rows) {
+        member_map members;
+        for (size_t index = 0; index < item.nodes; ++index) {
+            const member node = makeMember("n" + std::to_string(index));
+            members[node.id] = node;
+        }
+        std::set<Common::node_id> reached { { "n0" } };
+        size_t hops = 0;
+        while (reached.size() < item.nodes && hops < item.mostHops) {
+            std::set<Common::node_id> next = reached;
+            for (const Common::node_id& id : reached) {
+                const auto links = choosePushLinks(id, members);
+                CHECK(links.size() <= item.mostLinks);
+                next.insert(links.begin(), links.end());
+            }
+            reached = next;
+            ++hops;
+        }
+        LONGS_EQUAL(item.nodes, reached.size());
+    }
+}
+
+TEST(Members, ALargeFleetIsProbedMoreSlowlyAndSuspectedLater)
+{
+    struct row {
+        size_t peers;
+        int probesInTwoSeconds;
+    };
+    const row rows[] = { { 10, 3 }, { 399, 2 } };
+    for (const row& item : rows) {
+        membership_state state = makeState(item.peers);
+        int rounds = 0;
+        for (milliseconds at { 0 }; at <= milliseconds(2000); at += milliseconds(200))
+            rounds += count<send_probe>(stepMembership(state, membership_tick {}, testStart + at)) > 0 ? 1 : 0;
+        LONGS_EQUAL(item.probesInTwoSeconds, rounds);
+    }
+}
+
 TEST(Members, TheLaterStateOfAnIncarnationWins)
 {
     struct row {
