--- a/Source/Core/Common/Failure.cpp
+++ b/Source/Core/Common/Failure.cpp
@@ -16,12 +16,10 @@
 
     constexpr std::array failureRows {
         failure_row { failure_kind::MalformedRequest, "malformed_request", 400 },
-        failure_row { failure_kind::BodyTooLarge, "body_too_large", 413 },
         failure_row { failure_kind::UnknownPath, "unknown_path", 404 },
         failure_row { failure_kind::UnknownClass, "unknown_class", 404 },
         failure_row { failure_kind::UnknownRequest, "unknown_request", 404 },
         failure_row { failure_kind::Unauthorized, "unauthorized", 401 },
-        failure_row { failure_kind::Forbidden, "forbidden", 403 },
         failure_row { failure_kind::MissingIdempotencyKey, "missing_idempotency_key", 400 },
         failure_row { failure_kind::IdempotencyKeyReused, "idempotency_key_reused", 422 },
         failure_row { failure_kind::CallInProgress, "call_in_progress", 409 },
--- a/Source/Core/Common/Failure.h
+++ b/Source/Core/Common/Failure.h
@@ -12,12 +12,10 @@
 
 enum class failure_kind {
     MalformedRequest,
-    BodyTooLarge,
     UnknownPath,
     UnknownClass,
     UnknownRequest,
     Unauthorized,
-    Forbidden,
     MissingIdempotencyKey,
     IdempotencyKeyReused,
     CallInProgress,
--- a/Source/Core/Configuration/Model.cpp
+++ b/Source/Core/Configuration/Model.cpp
@@ -107,15 +107,6 @@
 
 } // namespace
 
-const client_account* findAccountByDigest(const configuration& state, const std::string& digest)
-{
-    for (const auto& [id, account] : state.accounts) {
-        if (account.keyDigest == digest)
-            return &account;
-    }
-    return nullptr;
-}
-
 std::string versionKey(const std::string& service, const Common::version_name& version)
 {
     return service + "/" + version.value;
--- a/Source/Core/Configuration/Model.h
+++ b/Source/Core/Configuration/Model.h
@@ -63,11 +63,6 @@
     std::map<std::string, endpoint_version> versions; ///< By "service/version".
 };
 
-/// @param state the configuration.
-/// @param digest digest of the presented key.
-/// @return the account with that key, or nothing.
-const client_account* findAccountByDigest(const configuration& state, const std::string& digest);
-
 /// @param service a service's name.
 /// @param version a version's name.
 /// @return its key in configuration::versions.
--- a/Source/Core/Dispatch/DispatchDuty.cpp
+++ b/Source/Core/Dispatch/DispatchDuty.cpp
@@ -50,14 +50,21 @@
             publishMetrics();
             m_unfinished = countUnfinished(m_state);
         }
+        // What has been decided so far must not wait for the next event of an endpoint.
+        flushToCallers();
         m_client.poll(tickInterval);
         for (dispatch_message& message : std::exchange(m_fromEndpoints, {}))
             dispatch(std::move(message));
-        if (!m_forCallers.empty() && m_outlets.tellCallers(m_forCallers))
-            m_forCallers.clear();
+        flushToCallers();
     }
 }
 
+void dispatch_duty::flushToCallers()
+{
+    if (!m_forCallers.empty() && m_outlets.tellCallers(m_forCallers))
+        m_forCallers.clear();
+}
+
 void dispatch_duty::stop()
 {
     m_isStopping = true;
--- a/Source/Core/Dispatch/DispatchDuty.h
+++ b/Source/Core/Dispatch/DispatchDuty.h
@@ -65,6 +65,7 @@
     void perform(action_type& action);
     void takeEngineBytes(Common::attempt_number attempt, long status, std::string_view bytes);
     void endAttempt(Common::attempt_number attempt, bool isModelWork, Http::transfer_answer&& answer);
+    void flushToCallers();
     void publishMetrics() const;
 
     dispatch_state m_state;
--- a/Source/Core/Entry/EntryDuty.cpp
+++ b/Source/Core/Entry/EntryDuty.cpp
@@ -181,6 +181,7 @@
 
 void entry_duty::answerFailure(Common::caller_token token, const Common::failure& reason, const Common::request_id& request)
 {
+    m_resumeQueries.erase(token.value);
     Common::countMetric("filbertreel_failures_total{code=\"" + std::string(nameOf(reason.kind)) + "\"}");
     std::vector<Http::header> headers { { "Content-Type", "application/json" } };
     if (!request.value.empty())
@@ -299,7 +300,6 @@
 
 void entry_duty::perform(Dispatch::send_failure& action)
 {
-    m_resumeQueries.erase(action.token.value);
     answerFailure(action.token, action.reason, action.request);
 }
 
@@ -334,7 +334,6 @@
     const std::vector<searching_caller> callers = std::move(found->second);
     m_searching.erase(found);
     for (const searching_caller& caller : callers) {
-        m_resumeQueries.erase(caller.token.value);
         answerFailure(caller.token, { Common::failure_kind::UnknownRequest, request.value, Common::run_state::Unknown, 0 }, request);
     }
 }
--- a/Source/Core/Membership/Members.cpp
+++ b/Source/Core/Membership/Members.cpp
@@ -29,7 +29,7 @@
         for (const auto& [id, link] : state.links) {
             const auto peer = state.members.find(id);
             if (id != except && peer != state.members.end())
-                output.push_back(send_facts { peer->second.peerAddress, facts, false });
+                output.push_back(send_facts { peer->second.peerAddress, facts });
         }
     }
 
@@ -112,7 +112,7 @@
             return;
         link->second.mismatches = 0;
         output.push_back(send_pull { message.fromAddress });
-        output.push_back(send_facts { message.fromAddress, fullTable(state), true });
+        output.push_back(send_facts { message.fromAddress, fullTable(state) });
     }
 
     void handle(membership_state& state, probe_heard&& message, Common::instant now, actions& output)
@@ -127,7 +127,7 @@
             output.push_back(send_probe { message.fromAddress, message.sequence, digestMembers(state), state.configuration, true });
         // A node that was declared dead learns it here and refutes; a newcomer gets the table.
         if (isStranger) {
-            output.push_back(send_facts { message.fromAddress, fullTable(state), true });
+            output.push_back(send_facts { message.fromAddress, fullTable(state) });
             output.push_back(send_pull { message.fromAddress });
         }
         compareDigest(state, message, output);
@@ -142,7 +142,7 @@
 
     void handle(membership_state& state, pull_heard&& message, Common::instant, actions& output)
     {
-        output.push_back(send_facts { message.fromAddress, fullTable(state), true });
+        output.push_back(send_facts { message.fromAddress, fullTable(state) });
     }
 
     void handle(membership_state& state, seeds_known&& message, Common::instant, actions&)
--- a/Source/Core/Membership/Members.h
+++ b/Source/Core/Membership/Members.h
@@ -62,7 +62,6 @@
 struct send_facts {
     std::string address;
     std::vector<member> members;
-    bool isFullTable { false };
 };
 
 struct send_pull {
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -34,6 +34,7 @@
     peer_sockets sockets;
     int wakeHandle { -1 };
     uint64_t placedTransfers { 0 };
+    uint64_t pulls { 0 };
     std::atomic<bool> isStopping { false };
 
     void wake() const
@@ -83,7 +84,6 @@
     void perform(const send_facts& action)
     {
         envelope message;
-        message.mutable_member_facts()->set_is_full_table(action.isFullTable);
         for (const member& item : action.members)
             encodeMember(item, *message.mutable_member_facts()->add_members());
         send(action.address, message);
@@ -138,7 +138,10 @@
     {
         envelope outgoing;
         outgoing.mutable_configuration_pull()->set_after_version(message.after.value);
-        sendToLinks(outgoing);
+        // One peer at a time: each may answer with the whole configuration. The next pull asks the next one.
+        const auto links = chooseLinks(settings.self.id, state.members);
+        if (!links.empty())
+            sendTo(links[pulls++ % links.size()], outgoing);
     }
 
     void take(give_changes&& message)
--- a/Source/Core/Rollout/Rollout.cpp
+++ b/Source/Core/Rollout/Rollout.cpp
@@ -140,7 +140,6 @@
         if (sum(pooled, &comparison::fresh).ended < needed(item, pooled, now))
             return;
         item.stage += 1;
-        item.stageSince = now;
     }
 
     bool isProven(const active_rollout& item, const class_evidence& pooled, Common::wall_time now)
@@ -172,7 +171,6 @@
             return;
         active_rollout item;
         item.version = version;
-        item.stageSince = version.startedAt;
         const auto known = state.latched.find(key);
         if (known != state.latched.end()) {
             item.isLatched = true;
--- a/Source/Core/Rollout/Rollout.h
+++ b/Source/Core/Rollout/Rollout.h
@@ -97,7 +97,6 @@
     class_evidence own;
     std::map<Common::node_id, class_evidence> peers;
     size_t stage { 0 };
-    Common::wall_time stageSince;
     bool isLatched { false };
     std::string cause;
     Common::wall_time nextProposal;
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -350,17 +350,4 @@
     return found != state.views.end() && found->info->id == id ? &*found : nullptr;
 }
 
-uint32_t predictFreeSlots(const router_state& state, const std::string& service)
-{
-    const auto found = state.byService.find(service);
-    if (found == state.byService.end())
-        return 0;
-    double freeSlots = 0;
-    for (const uint32_t index : found->second) {
-        const endpoint_view& view = state.views[index];
-        freeSlots += std::max(0.0, view.slots - occupied(state, view));
-    }
-    return static_cast<uint32_t>(freeSlots);
-}
-
 } // namespace Routing
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -121,9 +121,4 @@
 /// @return the view of an endpoint, or nothing when it is not on the list.
 endpoint_view* findView(router_state& state, const Common::endpoint_id& id);
 
-/// @param state the router.
-/// @param service a model or service name.
-/// @return the slots of its usable endpoints that are predicted to be free.
-uint32_t predictFreeSlots(const router_state& state, const std::string& service);
-
 } // namespace Routing
