--- a/Source/Core/Membership/Overlay.cpp
+++ b/Source/Core/Membership/Overlay.cpp
@@ -43,7 +43,7 @@
 {
     constexpr size_t fewLinks = 4;
     constexpr size_t everyThird = 3;
-    const std::vector<Common::node_id> links = chooseLinks(self, members);
+    std::vector<Common::node_id> links = chooseLinks(self, members);
     if (links.size() <= fewLinks)
         return links;
     std::vector<Common::node_id> chosen;
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -264,7 +264,6 @@
         const Common::node_id sender { message.sender() };
         switch (message.body_case()) {
         case envelope::kProbe:
-            return step(decodeProbe(message));
         case envelope::kProbeReply:
             return step(decodeProbe(message));
         case envelope::kMemberFacts:
