--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -18,6 +18,8 @@
 using request_id = strong_type<struct request_id_tag, std::string>;
 using zone_name = strong_type<struct zone_name_tag, std::string>;
 using region_name = strong_type<struct region_name_tag, std::string>;
+using service_name = strong_type<struct service_name_tag, std::string>;
+using route_name = strong_type<struct route_name_tag, std::string>;
 using version_name = strong_type<struct version_name_tag, std::string>;
 
 /// Number of times a node has been started or has refuted a rumour of its death.
--- /dev/null
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -0,0 +1,449 @@
+#include "Control/ControlDuty.h"
+
+#include "Common/BootClock.h"
+#include "Common/Log.h"
+#include "Common/Metrics.h"
+#include "Common/Ring.h"
+#include "Control/TrueTime.h"
+#include "Control/UsageReporter.h"
+#include "Lease/Lease.h"
+#include "Scaling/Plan.h"
+#include "Store/TableWatch.h"
+
+#include <atomic>
+
+namespace Control {
+
+namespace {
+
+    constexpr size_t ringCapacity = 4096;
+    constexpr milliseconds longestPoll { 200 };
+    /// A feed that fell silent is noticed after this; well under the bound of a new catalog's taking effect.
+    constexpr milliseconds urgentWait { 1500 };
+    /// Nodes are noticed by their peers; the table only introduces them.
+    constexpr milliseconds nodesWait { 6000 };
+    constexpr const char* nodeTable = "nodes";
+    /// This node's counts of an unfinished window are written at this interval, for the case that it is killed.
+    constexpr milliseconds countWriteInterval { 2000 };
+    /// After the end of a window its counts are written within this time.
+    constexpr milliseconds lastCountDelay { 400 };
+    constexpr milliseconds registerPause { 300 };
+    constexpr uint64_t nonceBits = 48;
+
+    milliseconds stretched(milliseconds interval, size_t nodes)
+    {
+        constexpr size_t nodesPerInterval = 20;
+        return interval * std::max<int64_t>(1, static_cast<int64_t>(nodes / nodesPerInterval));
+    }
+
+} // namespace
+
+struct control_duty::implementation {
+    control_settings settings;
+    control_outlets outlets;
+    Http::client client;
+    Common::ring<control_message> inbox { ringCapacity };
+    std::vector<control_message> batch;
+    std::atomic<bool> isStopping { false };
+
+    Store::table_watch operatorWatch;
+    Store::table_watch endpointWatch;
+    Store::table_watch nodeWatch;
+    Fleet::endpoint_book endpoints;
+    Catalog::catalog_pointer catalog;
+    Fleet::node_map nodes;
+    std::optional<store_reading> storeClock;
+
+    bool isRegistered { false };
+    bool isRegistering { false };
+    bool isLeaving { false };
+    Common::instant nextRegistration;
+
+    Lease::lease_state lease;
+    usage_reporter reporter;
+    Usage::usage_counter counter;
+    std::vector<Usage::begun_request> unplaced; ///< Begun before true time was known.
+    bool isWritingCounts { false };
+    Common::instant nextCountWrite;
+    Scaling::plan_state plan;
+    bool wasHolder { false };
+
+    // --- Calls to the store
+
+    template <typename handler>
+    void call(Http::outgoing_request&& request, handler onAnswer)
+    {
+        Common::countMetric("filbertreel_store_calls_total");
+        client.start(std::move(request), [this, onAnswer](Http::transfer_answer&& answer) {
+            const Store::rows_answer parsed = settings.calls.storeAnswer(answer);
+            if (parsed.outcome == Store::call_outcome::Done && parsed.now.value > 0)
+                storeClock = store_reading { parsed.now, Common::bootClockNow() };
+            if (parsed.outcome != Store::call_outcome::Done)
+                Common::countMetric("filbertreel_store_calls_failed_total");
+            onAnswer(parsed);
+        });
+    }
+
+    const std::string& storeAddress() const
+    {
+        return settings.facts.store.address;
+    }
+
+    void commit(const Store::transaction& item, std::function<void(const Store::rows_answer&)> onAnswer)
+    {
+        call(settings.calls.transaction(storeAddress(), item), std::move(onAnswer));
+    }
+
+    // --- Tables that are followed
+
+    void follow(Store::table_watch& watch, void (implementation::*onChange)())
+    {
+        const auto query = Store::nextQuery(watch, Common::bootClockNow());
+        if (!query)
+            return;
+        Http::outgoing_request request = std::holds_alternative<Store::range>(*query)
+            ? settings.calls.rows(storeAddress(), std::get<Store::range>(*query))
+            : settings.calls.changes(storeAddress(), std::get<Store::change_query>(*query));
+        call(std::move(request), [this, &watch, onChange](const Store::rows_answer& answer) {
+            const Store::watch_event event = Store::takeAnswer(watch, answer, Common::bootClockNow());
+            noteDependency(watch, event);
+            if (event.hasChanged)
+                (this->*onChange)();
+        });
+    }
+
+    void noteDependency(const Store::table_watch& watch, const Store::watch_event& event)
+    {
+        if (event.hasFailed)
+            Common::logEvent(Common::log_level::Warning, "store_lost", { { "table", watch.settings.table }, { "newest", watch.newest.value } });
+        if (!event.hasReturned)
+            return;
+        Common::logEvent(Common::log_level::Info, "store_regained", { { "table", watch.settings.table }, { "newest", watch.newest.value } });
+        if (&watch == &endpointWatch)
+            Fleet::noteStoreReturned(endpoints, Common::bootClockNow());
+    }
+
+    void operatorRowsChanged()
+    {
+        const auto newer = settings.calls.catalog(operatorWatch.rows, catalog ? catalog->version : 0);
+        if (newer) {
+            catalog = newer;
+            Common::logEvent(Common::log_level::Info, "catalog_in_force", { { "version", catalog->version }, { "routes", catalog->routes.size() }, { "accounts", catalog->accounts.size() } });
+            outlets.tellGateway(Gateway::catalog_known { catalog });
+            outlets.tellPeersCatalog(catalog->version);
+        }
+    }
+
+    void endpointRowsChanged()
+    {
+        const Fleet::listing heard = settings.calls.endpoints(endpointWatch.rows);
+        const auto changes = Fleet::applyListing(endpoints, heard, Common::bootClockNow());
+        for (const Fleet::endpoint_change& change : changes)
+            tellEndpointChange(change, "store");
+        outlets.tellGateway(Gateway::endpoints_known { endpoints.endpoints });
+    }
+
+    void tellEndpointChange(const Fleet::endpoint_change& change, const char* source)
+    {
+        Common::logEvent(Common::log_level::Info, "endpoint_changed", { { "endpoint", change.item.id.value }, { "change", Fleet::nameOf(change.kind) }, { "service", change.item.service.value }, { "zone", change.item.zone.value }, { "reclaimable", change.item.isReclaimable }, { "version", change.item.version.value }, { "source", source }, { "row_version", endpointWatch.newest.value } });
+        if (change.kind == Fleet::change_kind::BeganLeaving)
+            outlets.tellPeersLeaving(change.item);
+    }
+
+    void nodeRowsChanged()
+    {
+        nodes.clear();
+        for (const auto& [key, item] : nodeWatch.rows)
+            nodes[{ key }] = Fleet::decodeNode({ key }, item.value);
+        outlets.publishNodes(nodes);
+    }
+
+    // --- This node's own row
+
+    void registerSelf(Common::instant now)
+    {
+        if (isRegistered || isRegistering || now < nextRegistration)
+            return;
+        if (!storeClock)
+            return;
+        isRegistering = true;
+        settings.self.isLeaving = isLeaving;
+        settings.self.clockOffset = Common::wallClockMilliseconds() - storeNowEstimate(now);
+        Store::transaction write;
+        write.writes.push_back({ { nodeTable, "", settings.self.node.value }, Fleet::encodeNode(settings.self) });
+        const bool told = isLeaving;
+        commit(write, [this, told](const Store::rows_answer& answer) {
+            isRegistering = false;
+            isRegistered = answer.outcome == Store::call_outcome::Done && told == isLeaving;
+            nextRegistration = Common::bootClockNow() + registerPause;
+        });
+    }
+
+    int64_t storeNowEstimate(Common::instant now) const
+    {
+        return trueTimeAt(*storeClock, 0, now).value;
+    }
+
+    // --- Usage
+
+    std::optional<Usage::true_time> trueTime(Common::instant now) const
+    {
+        if (!storeClock)
+            return {};
+        std::vector<int64_t> offsets;
+        for (const auto& [id, item] : nodes) {
+            if (item.clockOffset)
+                offsets.push_back(*item.clockOffset);
+        }
+        const auto offset = medianOffset(std::move(offsets));
+        if (!offset)
+            return {};
+        return trueTimeAt(*storeClock, *offset, now);
+    }
+
+    void countBegun(Common::instant now)
+    {
+        const auto trueNow = trueTime(now);
+        if (!trueNow)
+            return;
+        const auto steadyNow = std::chrono::steady_clock::now();
+        for (const Usage::begun_request& item : unplaced) {
+            const auto ago = std::chrono::duration_cast<milliseconds>(steadyNow - item.at);
+            Usage::countBegun(counter, item.account, { trueNow->value - ago.count() });
+        }
+        unplaced.clear();
+    }
+
+    void writeCounts(Common::instant now)
+    {
+        const auto trueNow = trueTime(now);
+        if (isWritingCounts || !trueNow || !settings.facts.cloud.wantsUsage)
+            return;
+        const Usage::window_number currentWindow = Usage::windowOf(*trueNow, counter.windowLength);
+        Usage::forgetBefore(counter, { currentWindow.value - 4 });
+        Store::transaction write;
+        std::map<Usage::window_number, Usage::account_counts> written;
+        for (const Usage::window_number window : Usage::unwrittenWindows(counter)) {
+            const bool isOver = trueNow->value > Usage::endOf(window, counter.windowLength).value + lastCountDelay.count();
+            if (!isOver && now < nextCountWrite)
+                continue;
+            written[window] = counter.windows[window];
+            write.writes.push_back({ countRow(window, settings.self.node), Usage::encodeCounts(counter.windows[window]) });
+        }
+        if (write.writes.empty())
+            return;
+        isWritingCounts = true;
+        nextCountWrite = now + stretched(countWriteInterval, nodes.size());
+        commit(write, [this, written](const Store::rows_answer& answer) {
+            isWritingCounts = false;
+            if (answer.outcome != Store::call_outcome::Done) {
+                nextCountWrite = Common::bootClockNow() + registerPause;
+                return;
+            }
+            for (const auto& [window, counts] : written)
+                Usage::noteWritten(counter, window, counts);
+        });
+    }
+
+    void reportUsage(Common::instant now)
+    {
+        const auto trueNow = trueTime(now);
+        if (!trueNow || !settings.facts.cloud.wantsUsage)
+            return;
+        const auto step = nextStep(reporter, *trueNow, now);
+        if (step)
+            std::visit([this](const auto& item) { perform(item); }, *step);
+    }
+
+    void perform(const read_counts& step)
+    {
+        call(settings.calls.rows(storeAddress(), step.rows), [this, window = step.window](const Store::rows_answer& answer) {
+            takeCounts(reporter, window, answer, Common::bootClockNow());
+        });
+    }
+
+    void perform(const record_report& step)
+    {
+        commit(step.transaction, [this, window = step.window](const Store::rows_answer& answer) {
+            takeRecorded(reporter, window, answer, Common::bootClockNow());
+        });
+    }
+
+    Scaling::order_giver giver() const
+    {
+        return { settings.self.node, lease.fence.value };
+    }
+
+    void perform(const send_report& step)
+    {
+        client.start(settings.calls.usage(settings.facts.cloud.address, giver(), step.window, step.counts), [this, step](const Http::transfer_answer& answer) {
+            const Scaling::order_outcome outcome = settings.calls.dutyAnswer(answer);
+            const bool isDone = outcome == Scaling::order_outcome::Done;
+            uint64_t sum = 0;
+            for (const auto& [account, count] : step.counts)
+                sum += count;
+            Common::logEvent(Common::log_level::Info, "usage_reported", { { "window", step.window.value }, { "requests", sum }, { "status", answer.status }, { "done", isDone } });
+            if (outcome == Scaling::order_outcome::Fenced || outcome == Scaling::order_outcome::NoneAvailable)
+                Lease::raiseFence(lease, Common::bootClockNow());
+            takeSent(reporter, step.window, isDone, Common::bootClockNow());
+        });
+    }
+
+    // --- Orders of endpoints
+
+    void orderEndpoints(Common::instant now)
+    {
+        if (!catalog || !settings.facts.cloud.wantsScaling)
+            return;
+        std::map<Scaling::subject, uint32_t> wanted;
+        for (const auto& [name, service] : catalog->services)
+            wanted.merge(Scaling::planEndpoints(service));
+        const auto order = Scaling::nextOrder(plan, wanted, now);
+        if (!order)
+            return;
+        client.start(settings.calls.order(settings.facts.cloud.address, giver(), *order), [this, order](const Http::transfer_answer& answer) {
+            const Scaling::order_outcome outcome = settings.calls.dutyAnswer(answer);
+            Common::logEvent(Common::log_level::Info, "endpoints_ordered", { { "service", order->service.value }, { "zone", order->zone.value }, { "reclaimable", order->isReclaimable }, { "desired", order->desired }, { "status", answer.status }, { "answer", answer.body.substr(0, 100) } });
+            // An order of unknown fate may be carried out later: the next one needs a higher token to prevail.
+            if (outcome == Scaling::order_outcome::Fenced || outcome == Scaling::order_outcome::Unknown)
+                Lease::raiseFence(lease, Common::bootClockNow());
+            Scaling::takeOutcome(plan, outcome, Common::bootClockNow());
+        });
+    }
+
+    // --- The lease
+
+    void keepLease(Common::instant now)
+    {
+        const auto next = Lease::nextCall(lease, now);
+        if (!next)
+            return;
+        Http::outgoing_request request = std::holds_alternative<Store::range>(*next)
+            ? settings.calls.rows(storeAddress(), std::get<Store::range>(*next))
+            : settings.calls.transaction(storeAddress(), std::get<Store::transaction>(*next));
+        call(std::move(request), [this](const Store::rows_answer& answer) {
+            Lease::takeAnswer(lease, answer, Common::bootClockNow());
+            noteHolder();
+        });
+    }
+
+    void noteHolder()
+    {
+        if (lease.isHeld == wasHolder)
+            return;
+        wasHolder = lease.isHeld;
+        Common::logEvent(Common::log_level::Info, lease.isHeld ? "lease_taken" : "lease_lost", { { "fence", lease.fence.value } });
+    }
+
+    void doDuties(Common::instant now)
+    {
+        const bool mayAct = Lease::mayAct(lease, now);
+        if (!mayAct)
+            return;
+        reportUsage(now);
+        orderEndpoints(now);
+    }
+
+    // --- Messages
+
+    void take(interval_seen&& message)
+    {
+        for (Usage::begun_request& item : message.report.begun)
+            unplaced.push_back(std::move(item));
+    }
+
+    void take(leaving_heard&& message)
+    {
+        const auto change = Fleet::noteLeaving(endpoints, message.endpoint, message.started);
+        if (!change)
+            return;
+        tellEndpointChange(*change, "peer");
+        outlets.tellGateway(Gateway::endpoints_known { endpoints.endpoints });
+    }
+
+    void take(newer_catalog_heard&& message)
+    {
+        if (!catalog || message.version > catalog->version)
+            operatorWatch.wantsRefresh = true;
+    }
+
+    void take(leave_begun&&)
+    {
+        isLeaving = true;
+        isRegistered = false;
+        nextRegistration = {};
+        lease.isResigning = true;
+    }
+
+    void take(settings_changed&& message)
+    {
+        settings.facts.store = message.facts.store;
+        settings.facts.cloud = message.facts.cloud;
+    }
+
+    void take(Gateway::attempt_seen&&) { }
+    void take(Rollout::peer_evidence&&) { }
+    void take(Rollout::peer_latch&&) { }
+
+    void takeMessages()
+    {
+        inbox.drainInto(batch);
+        for (control_message& message : batch)
+            std::visit([this](auto& item) { take(std::move(item)); }, message);
+    }
+
+    void step()
+    {
+        takeMessages();
+        const Common::instant now = Common::bootClockNow();
+        follow(operatorWatch, &implementation::operatorRowsChanged);
+        follow(endpointWatch, &implementation::endpointRowsChanged);
+        follow(nodeWatch, &implementation::nodeRowsChanged);
+        registerSelf(now);
+        countBegun(now);
+        writeCounts(now);
+        keepLease(now);
+        doDuties(now);
+    }
+};
+
+control_duty::control_duty(control_settings settings, control_outlets outlets)
+    : m_implementation(std::make_unique<implementation>())
+{
+    implementation& self = *m_implementation;
+    self.settings = std::move(settings);
+    self.outlets = std::move(outlets);
+    self.operatorWatch.settings = { self.settings.calls.operatorTable, urgentWait };
+    self.endpointWatch.settings = { self.settings.calls.endpointTable, urgentWait };
+    self.nodeWatch.settings = { nodeTable, nodesWait };
+    self.lease.settings.self = self.settings.self.node;
+    self.lease.settings.duration = std::max(self.lease.settings.duration, self.settings.facts.bounds.lease + milliseconds(600));
+    self.lease.lastNonce = self.settings.seed & ((uint64_t { 1 } << nonceBits) - 1);
+    self.counter.windowLength = self.settings.facts.bounds.usageWindow;
+    self.reporter.windowLength = self.settings.facts.bounds.usageWindow;
+    self.reporter.due = self.settings.facts.bounds.usageDue;
+    self.inbox.setWaker([&self] { self.client.wake(); });
+}
+
+control_duty::~control_duty() = default;
+
+bool control_duty::submit(control_message&& message)
+{
+    return m_implementation->inbox.push(message);
+}
+
+void control_duty::run()
+{
+    while (!m_implementation->isStopping) {
+        m_implementation->step();
+        m_implementation->client.poll(longestPoll);
+    }
+}
+
+void control_duty::stop()
+{
+    m_implementation->isStopping = true;
+    m_implementation->client.wake();
+}
+
+} // namespace Control
--- /dev/null
+++ b/Source/Core/Control/ControlDuty.h
@@ -0,0 +1,83 @@
+#pragma once
+
+/// @file
+/// The control duty: the thread that follows the platform's store, keeps this node in it, and does what one node at a
+/// time has to do: usage reports, orders of endpoints, ends of rollouts.
+
+#include "Control/PlatformCalls.h"
+#include "Fleet/Directory.h"
+#include "Fleet/NodeFacts.h"
+#include "Gateway/GatewayDuty.h"
+#include "Rollout/Rollout.h"
+
+#include <functional>
+#include <memory>
+#include <variant>
+
+namespace Control {
+
+/// What the gateway has seen in an interval.
+struct interval_seen {
+    Gateway::interval_report report;
+};
+
+/// A peer, or an endpoint itself, says that an endpoint leaves.
+struct leaving_heard {
+    Common::endpoint_id endpoint;
+    Fleet::start_time started;
+};
+
+/// A peer knows a newer catalog.
+struct newer_catalog_heard {
+    uint64_t version { 0 };
+};
+
+/// This node begins to leave.
+struct leave_begun { };
+
+/// The settings were read again.
+struct settings_changed {
+    Fleet::node_facts facts;
+};
+
+using control_message = std::variant<interval_seen, leaving_heard, newer_catalog_heard, leave_begun, settings_changed, Gateway::attempt_seen, Rollout::peer_evidence, Rollout::peer_latch>;
+
+/// Where the duty's findings go. None of the functions may block.
+struct control_outlets {
+    std::function<void(Gateway::gateway_message&&)> tellGateway;
+    /// All registered nodes, this one included.
+    std::function<void(const Fleet::node_map&)> publishNodes;
+    std::function<void(const Fleet::endpoint&)> tellPeersLeaving;
+    std::function<void(uint64_t catalogVersion)> tellPeersCatalog;
+    std::function<void(const Rollout::tell_evidence&)> tellPeersEvidence;
+    std::function<void(const Rollout::tell_latch&)> tellPeersLatch;
+};
+
+struct control_settings {
+    Fleet::node_facts facts;
+    Fleet::node_entry self;
+    platform_calls calls;
+    uint64_t seed { 1 };
+};
+
+class control_duty {
+public:
+    control_duty(control_settings settings, control_outlets outlets);
+    ~control_duty();
+    control_duty(const control_duty&) = delete;
+    control_duty& operator=(const control_duty&) = delete;
+
+    /// Hands a message over; may be called from any thread.
+    /// @return whether the ring took it.
+    bool submit(control_message&& message);
+    /// Serves until stop().
+    void run();
+    /// Ends run(); may be called from any thread.
+    void stop();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace Control
--- /dev/null
+++ b/Source/Core/Control/UsageReporter.cpp
@@ -0,0 +1,161 @@
+#include "Control/UsageReporter.h"
+
+#include <fmt/format.h>
+
+namespace Control {
+
+namespace {
+
+    constexpr const char* countTable = "usage_counts";
+    constexpr const char* reportTable = "usage_reports";
+    /// Nodes write their last counts of a window within this time after its end.
+    constexpr milliseconds settleTime { 2600 };
+    constexpr milliseconds retryPause { 400 };
+    /// A report that would be this late is not taken up any more.
+    constexpr milliseconds lateReserve { 300 };
+
+    std::string windowKey(Usage::window_number window)
+    {
+        return fmt::format("{:012}", window.value);
+    }
+
+    /// The first window whose report can still be in time.
+    Usage::window_number oldestUseful(const usage_reporter& reporter, Usage::true_time trueNow)
+    {
+        const int64_t latestEnd = trueNow.value - reporter.due.count() + lateReserve.count();
+        return { Usage::windowOf({ latestEnd }, reporter.windowLength).value };
+    }
+
+    void takeUpWindows(usage_reporter& reporter, Usage::true_time trueNow)
+    {
+        const Usage::window_number newest { Usage::windowOf({ trueNow.value - settleTime.count() }, reporter.windowLength).value - 1 };
+        const Usage::window_number oldest = oldestUseful(reporter, trueNow);
+        const int64_t first = reporter.lastBegun ? std::max(reporter.lastBegun->value + 1, oldest.value) : oldest.value;
+        for (int64_t number = first; number <= newest.value; ++number)
+            reporter.pending.try_emplace(Usage::window_number { number });
+        if (newest.value >= first)
+            reporter.lastBegun = newest;
+        std::erase_if(reporter.pending, [oldest](const auto& entry) { return entry.first < oldest; });
+    }
+
+    usage_step makeStep(const usage_reporter& reporter, Usage::window_number window, const window_report& report)
+    {
+        switch (report.stage) {
+        case report_stage::Collect:
+            return read_counts { window, { countTable, "", windowKey(window) + "/", windowKey(window) + "0", 500 } };
+        case report_stage::Record: {
+            const Store::row_name name { reportTable, "", windowKey(window) };
+            Store::transaction write;
+            write.conditions.push_back({ name, {} });
+            write.writes.push_back({ name, Usage::encodeCounts(report.counts) });
+            write.removals = reporter.obsolete;
+            return record_report { window, std::move(write) };
+        }
+        case report_stage::Send:
+            break;
+        }
+        return send_report { window, report.counts };
+    }
+
+    window_report* find(usage_reporter& reporter, Usage::window_number window)
+    {
+        const auto found = reporter.pending.find(window);
+        return found == reporter.pending.end() ? nullptr : &found->second;
+    }
+
+} // namespace
+
+Store::row_name countRow(Usage::window_number window, const Common::node_id& node)
+{
+    return { countTable, "", windowKey(window) + "/" + node.value };
+}
+
+std::optional<usage_step> nextStep(usage_reporter& reporter, Usage::true_time trueNow, Common::instant now)
+{
+    if (reporter.isCalling)
+        return {};
+    takeUpWindows(reporter, trueNow);
+    for (auto& [window, report] : reporter.pending) {
+        if (now < report.nextTry)
+            continue;
+        reporter.isCalling = true;
+        return makeStep(reporter, window, report);
+    }
+    return {};
+}
+
+void takeCounts(usage_reporter& reporter, Usage::window_number window, const Store::rows_answer& answer, Common::instant now)
+{
+    reporter.isCalling = false;
+    window_report* report = find(reporter, window);
+    if (!report)
+        return;
+    if (answer.outcome != Store::call_outcome::Done) {
+        report->nextTry = now + retryPause;
+        return;
+    }
+    report->counts.clear();
+    report->countRows.clear();
+    for (const Store::row& item : answer.rows) {
+        const auto counts = Usage::decodeCounts(item.value);
+        if (!counts)
+            continue;
+        Usage::addCounts(report->counts, *counts);
+        report->countRows.push_back(item.name);
+    }
+    report->stage = report_stage::Record;
+}
+
+void takeRecorded(usage_reporter& reporter, Usage::window_number window, const Store::rows_answer& answer, Common::instant now)
+{
+    reporter.isCalling = false;
+    window_report* report = find(reporter, window);
+    if (!report)
+        return;
+    switch (answer.outcome) {
+    case Store::call_outcome::Done:
+        reporter.obsolete.clear();
+        report->stage = report_stage::Send;
+        return;
+    case Store::call_outcome::ConditionFailed:
+        for (const Store::row& item : answer.rows) {
+            const auto counts = Usage::decodeCounts(item.value);
+            if (counts && item.name.key == windowKey(window)) {
+                report->counts = *counts;
+                report->stage = report_stage::Send;
+                return;
+            }
+        }
+        report->nextTry = now + retryPause;
+        return;
+    case Store::call_outcome::HistoryLost:
+    case Store::call_outcome::Refused:
+    case Store::call_outcome::Unknown:
+        report->nextTry = now + retryPause;
+        return;
+    }
+}
+
+void takeSent(usage_reporter& reporter, Usage::window_number window, bool isDone, Common::instant now)
+{
+    reporter.isCalling = false;
+    window_report* report = find(reporter, window);
+    if (!report)
+        return;
+    if (!isDone) {
+        report->nextTry = now + retryPause;
+        return;
+    }
+    reporter.obsolete.insert(reporter.obsolete.end(), report->countRows.begin(), report->countRows.end());
+    reporter.pending.erase(window);
+}
+
+void resetReporter(usage_reporter& reporter)
+{
+    reporter.pending.clear();
+    reporter.lastBegun.reset();
+    reporter.obsolete.clear();
+    reporter.isCalling = false;
+}
+
+} // namespace Control
--- /dev/null
+++ b/Source/Core/Directory/DirectoryDuty.cpp
@@ -0,0 +1,76 @@
+#include "Directory/DirectoryDuty.h"
+
+#include "Common/Metrics.h"
+#include "Common/Text.h"
+
+namespace Directory {
+
+namespace {
+
+    constexpr int okStatus = 200;
+    constexpr int notFoundStatus = 404;
+    constexpr int unavailableStatus = 503;
+
+    Http::server_settings makeServerSettings(const directory_settings& settings)
+    {
+        Http::server_settings made;
+        made.listen = settings.listen;
+        return made;
+    }
+
+} // namespace
+
+directory_duty::directory_duty(directory_settings settings)
+    : m_settings(std::move(settings))
+    , m_server(makeServerSettings(m_settings), [this](Http::incoming_request&& request) { answer(std::move(request)); })
+{
+}
+
+void directory_duty::setNodes(const Fleet::node_map& nodes)
+{
+    const std::lock_guard guard(m_mutex);
+    m_nodes = nodes;
+}
+
+void directory_duty::setReady(bool isReady)
+{
+    m_isReady = isReady;
+}
+
+void directory_duty::run()
+{
+    m_server.run();
+}
+
+void directory_duty::stop()
+{
+    m_server.stop();
+}
+
+void directory_duty::answer(Http::incoming_request&& request)
+{
+    const auto asked = m_settings.format.read(request);
+    if (!asked)
+        return m_server.respond(request.token, notFoundStatus, {}, "");
+    if (std::holds_alternative<readiness_question>(*asked))
+        return m_server.respond(request.token, m_isReady ? okStatus : unavailableStatus, {}, "");
+    if (std::holds_alternative<metrics_question>(*asked)) {
+        Common::recordProcessMetrics();
+        return m_server.respond(request.token, okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, Common::printMetrics());
+    }
+    answerAddresses(request.token, std::get<address_question>(*asked));
+}
+
+void directory_duty::answerAddresses(Common::caller_token token, const address_question& asked)
+{
+    std::vector<std::string> addresses;
+    {
+        const std::lock_guard guard(m_mutex);
+        addresses = Fleet::chooseAddresses(m_nodes, asked.zone, asked.region);
+    }
+    if (addresses.empty())
+        return m_server.respond(token, unavailableStatus, {}, "");
+    m_server.respond(token, okStatus, { { "Content-Type", "application/json" } }, m_settings.format.writeAddresses(addresses, m_settings.addressLife));
+}
+
+} // namespace Directory
--- /dev/null
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -0,0 +1,358 @@
+#include "Gateway/CallerSession.h"
+
+#include <array>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+
+#include "Gateway/SocketOptions.h"
+
+namespace Gateway {
+
+namespace {
+
+    namespace http = boost::beast::http;
+    using boost::system::error_code;
+
+    constexpr int badRequestStatus = 400;
+    constexpr int bodyTooLargeStatus = 413;
+    constexpr int headTooLargeStatus = 431;
+    constexpr int firstStatusWithBody = 200;
+    constexpr int noContentStatus = 204;
+    constexpr int notModifiedStatus = 304;
+    /// A caller that reads nothing while so much waits for it is given up.
+    constexpr size_t outboxLimitBytes = 4U * 1024 * 1024;
+    /// A body of the largest size over the slowest link of the deployments takes less.
+    constexpr std::chrono::milliseconds bodyTimeLimit { 20000 };
+    /// How long a closing side waits for the other's close, so that unread bytes do not reset the connection.
+    constexpr std::chrono::milliseconds lingerLimit { 1000 };
+    /// Callers reuse a connection up to its idle limit; the slack lets a request that is under way arrive.
+    constexpr std::chrono::milliseconds idleSlack { 5000 };
+
+    std::string writeHead(int status, const std::vector<Http::header>& headers, bool closes)
+    {
+        const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+        std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, std::string_view(reason.data(), reason.size()));
+        for (const Http::header& line : headers) {
+            head += line.name;
+            head += ": ";
+            head += line.value;
+            head += "\r\n";
+        }
+        if (closes)
+            head += "Connection: close\r\n";
+        return head;
+    }
+
+    bool hasBody(int status)
+    {
+        return status >= firstStatusWithBody && status != noContentStatus && status != notModifiedStatus;
+    }
+
+    /// Framing that another parser might read otherwise.
+    template <typename fields>
+    bool isAmbiguous(const fields& head)
+    {
+        if (head.count(http::field::host) != 1 || head.target().empty() || head.target().front() != '/')
+            return true;
+        const auto coding = head.find(http::field::transfer_encoding);
+        if (coding == head.end())
+            return false;
+        return head.count(http::field::transfer_encoding) != 1 || !boost::beast::iequals(coding->value(), "chunked");
+    }
+
+    int statusOf(const error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return headTooLargeStatus;
+        if (error == http::error::body_limit)
+            return bodyTooLargeStatus;
+        return badRequestStatus;
+    }
+
+    bool isParseError(const error_code& error)
+    {
+        return error.category() == http::make_error_code(http::error::bad_method).category()
+            && error != http::error::end_of_stream && error != http::error::partial_message;
+    }
+
+} // namespace
+
+caller_session::caller_session(tcp::socket socket, const session_events& events)
+    : m_socket(std::move(socket))
+    , m_events(events)
+    , m_timer(m_socket.get_executor())
+{
+}
+
+void caller_session::start()
+{
+    setSocketOptions(m_socket);
+    awaitRequest();
+}
+
+bool caller_session::isIdle() const
+{
+    return !m_isReading && !m_isAnswering && !m_isWriting;
+}
+
+void caller_session::armTimer(std::chrono::milliseconds after)
+{
+    m_timer.expires_after(after);
+    m_timer.async_wait([self = shared_from_this()](const error_code& error) {
+        if (!error)
+            self->abort();
+    });
+}
+
+void caller_session::awaitRequest()
+{
+    if (m_isClosed || m_isClosing)
+        return;
+    m_parser.emplace();
+    m_isReading = false;
+    if (m_buffer.size() > 0)
+        return readHead();
+    armTimer(m_events.limits().idleTimeout + idleSlack);
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+        if (error || self->m_isClosed || self->m_isClosing)
+            return;
+        self->readHead();
+    });
+}
+
+void caller_session::readHead()
+{
+    const Catalog::input_limits limits = m_events.limits();
+    m_isReading = true;
+    m_parser->header_limit(limits.headerBytes);
+    m_parser->body_limit(limits.bodyBytes);
+    armTimer(limits.headerTimeout);
+    http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code& error, size_t) {
+        self->takeHead(error);
+    });
+}
+
+void caller_session::takeHead(const error_code& error)
+{
+    if (m_isClosed)
+        return;
+    if (error)
+        return rejectUnreadable(error);
+    const auto& head = m_parser->get();
+    if (isAmbiguous(head))
+        return rejectAndClose(badRequestStatus);
+    m_headers.clear();
+    for (const auto& line : head)
+        m_headers.push_back({ std::string(line.name_string()), std::string(line.value()) });
+    if (boost::beast::iequals(head[http::field::expect], "100-continue"))
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    readBody();
+}
+
+void caller_session::readBody()
+{
+    if (m_parser->is_done())
+        return deliver();
+    armTimer(bodyTimeLimit);
+    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code& error, size_t) {
+        if (self->m_isClosed)
+            return;
+        if (error)
+            return self->rejectUnreadable(error);
+        self->deliver();
+    });
+}
+
+void caller_session::deliver()
+{
+    m_timer.cancel();
+    auto& message = m_parser->get();
+    m_isReading = false;
+    m_isAnswering = true;
+    ++m_requests;
+    m_mustClose = m_mustClose || !message.keep_alive();
+    m_isHeadRequest = message.method() == http::verb::head;
+    arrived_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.headers = std::move(m_headers);
+    request.body = std::move(message.body());
+    watchForClose();
+    m_events.onRequest(shared_from_this(), std::move(request));
+}
+
+void caller_session::watchForClose()
+{
+    const uint64_t request = m_requests;
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), request](const error_code& error) {
+        if (error || self->m_isClosed || !self->m_isAnswering || request != self->m_requests)
+            return;
+        char byte = 0;
+        error_code peekError;
+        self->m_socket.non_blocking(true, peekError);
+        const size_t peeked = self->m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+        // Bytes of a next request: from here on a close shows only when the answer is written.
+        if (!peekError && peeked > 0)
+            return;
+        if (peekError == boost::asio::error::would_block)
+            return self->watchForClose();
+        self->abort();
+    });
+}
+
+void caller_session::rejectUnreadable(const error_code& error)
+{
+    if (isParseError(error))
+        return rejectAndClose(statusOf(error));
+    close();
+}
+
+void caller_session::rejectAndClose(int status)
+{
+    m_isReading = false;
+    m_isAnswering = true;
+    respond(status, { { "Content-Type", "application/json" } }, R"({"error":"malformed_request"})", true);
+}
+
+void caller_session::respond(int status, const std::vector<Http::header>& headers, const std::string& body, bool closes)
+{
+    if (m_isClosed || !m_isAnswering)
+        return;
+    m_mustClose = m_mustClose || closes;
+    std::string bytes = writeHead(status, headers, m_mustClose);
+    if (hasBody(status))
+        bytes += fmt::format("Content-Length: {}\r\n", body.size());
+    bytes += "\r\n";
+    if (hasBody(status) && !m_isHeadRequest)
+        bytes += body;
+    send(std::move(bytes));
+    finishAnswer();
+}
+
+void caller_session::beginStream(int status, const std::vector<Http::header>& headers, bool closes)
+{
+    if (m_isClosed || !m_isAnswering)
+        return;
+    m_mustClose = m_mustClose || closes;
+    send(writeHead(status, headers, m_mustClose) + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void caller_session::streamBytes(std::string_view bytes)
+{
+    if (m_isClosed || !m_isAnswering || bytes.empty())
+        return;
+    std::string chunk = fmt::format("{:x}\r\n", bytes.size());
+    chunk += bytes;
+    chunk += "\r\n";
+    send(std::move(chunk));
+}
+
+void caller_session::endStream()
+{
+    if (m_isClosed || !m_isAnswering)
+        return;
+    send("0\r\n\r\n");
+    finishAnswer();
+}
+
+void caller_session::finishAnswer()
+{
+    m_isAnswering = false;
+    if (!m_isWriting && m_outbox.empty())
+        return m_mustClose ? closeGracefully() : awaitRequest();
+}
+
+void caller_session::send(std::string bytes)
+{
+    m_outboxBytes += bytes.size();
+    m_outbox.push_back(std::move(bytes));
+    if (m_outboxBytes > outboxLimitBytes)
+        return abort();
+    if (!m_isWriting)
+        writeNext();
+}
+
+void caller_session::writeNext()
+{
+    m_isWriting = true;
+    auto batch = std::make_shared<std::string>();
+    for (std::string& bytes : m_outbox)
+        batch->append(bytes);
+    m_outbox.clear();
+    boost::asio::async_write(m_socket, boost::asio::buffer(*batch), [self = shared_from_this(), batch](const error_code& error, size_t) {
+        self->m_isWriting = false;
+        if (self->m_isClosed)
+            return;
+        if (error)
+            return self->abort();
+        self->m_outboxBytes -= batch->size();
+        if (!self->m_outbox.empty())
+            return self->writeNext();
+        if (self->m_isAnswering || self->m_isReading)
+            return;
+        if (self->m_mustClose)
+            return self->closeGracefully();
+        self->awaitRequest();
+    });
+}
+
+void caller_session::closeWhenIdle()
+{
+    m_mustClose = true;
+    if (isIdle() && !m_isClosed && !m_isClosing)
+        closeGracefully();
+}
+
+void caller_session::closeGracefully()
+{
+    if (m_isClosing || m_isClosed)
+        return;
+    m_isClosing = true;
+    error_code ignored;
+    // The other side may have closed first.
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    armTimer(lingerLimit);
+    drainUntilClosed();
+}
+
+void caller_session::drainUntilClosed()
+{
+    auto bytes = std::make_shared<std::array<char, 1024>>();
+    m_socket.async_read_some(boost::asio::buffer(*bytes), [self = shared_from_this(), bytes](const error_code& error, size_t) {
+        if (self->m_isClosed)
+            return;
+        if (error)
+            return self->close();
+        self->drainUntilClosed();
+    });
+}
+
+void caller_session::abort()
+{
+    if (m_isClosed)
+        return;
+    const bool wasAnswering = m_isAnswering;
+    m_isAnswering = false;
+    close();
+    if (wasAnswering)
+        m_events.onGone(*this);
+}
+
+void caller_session::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    m_timer.cancel();
+    error_code ignored;
+    // Nothing is left to tell the caller; a failed close changes nothing.
+    m_socket.close(ignored);
+    m_events.onClosed(*this);
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -0,0 +1,197 @@
+#include "Gateway/EndpointChannel.h"
+
+#include "Common/Text.h"
+#include "Gateway/SocketOptions.h"
+
+#include <limits>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace Gateway {
+
+namespace {
+
+    namespace http = boost::beast::http;
+    using boost::system::error_code;
+
+    constexpr uint32_t answerHeadLimitBytes = 32768;
+    constexpr unsigned informationalClass = 1;
+    constexpr unsigned statusesPerClass = 100;
+
+    boost::asio::ip::tcp::endpoint parseAddress(const std::string& address, error_code& error)
+    {
+        const size_t colon = address.rfind(':');
+        if (colon == std::string::npos) {
+            error = boost::asio::error::invalid_argument;
+            return {};
+        }
+        const auto port = Common::parseUnsigned(address.substr(colon + 1));
+        const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
+        if (!port || *port > std::numeric_limits<uint16_t>::max())
+            error = boost::asio::error::invalid_argument;
+        return { ip, static_cast<uint16_t>(port.value_or(0)) };
+    }
+
+} // namespace
+
+endpoint_channel::endpoint_channel(boost::asio::io_context& context, const std::string& address)
+    : m_address(address)
+    , m_socket(context)
+    , m_timer(context)
+{
+}
+
+uint64_t endpoint_channel::exchanges() const
+{
+    return m_exchanges;
+}
+
+bool endpoint_channel::isUsable() const
+{
+    return m_isConnected && !m_isClosed && !m_isActive;
+}
+
+void endpoint_channel::exchange(std::string bytes, std::chrono::milliseconds connectLimit, exchange_events events)
+{
+    m_request = std::move(bytes);
+    m_events = std::move(events);
+    m_hasWritten = false;
+    m_isWriteDone = false;
+    m_isActive = true;
+    ++m_exchanges;
+    if (m_isConnected)
+        return write();
+    connect(connectLimit);
+}
+
+void endpoint_channel::connect(std::chrono::milliseconds limit)
+{
+    error_code error;
+    const tcp::endpoint target = parseAddress(m_address, error);
+    if (error) {
+        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->finish(exchange_end::NotSent); });
+        return;
+    }
+    m_timer.expires_after(limit);
+    m_timer.async_wait([self = shared_from_this()](const error_code& timerError) {
+        if (timerError || self->m_isConnected || self->m_isClosed)
+            return;
+        self->finish(exchange_end::NotSent);
+    });
+    m_socket.async_connect(target, [self = shared_from_this()](const error_code& connectError) {
+        if (self->m_isClosed || !self->m_isActive)
+            return;
+        self->m_timer.cancel();
+        if (connectError)
+            return self->finish(exchange_end::NotSent);
+        self->m_isConnected = true;
+        setSocketOptions(self->m_socket);
+        self->write();
+    });
+}
+
+void endpoint_channel::write()
+{
+    // From here on the endpoint may have got the request, whatever an error says.
+    m_hasWritten = true;
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_request), [self = shared_from_this(), exchange = m_exchanges](const error_code& error, size_t) {
+        if (self->m_isClosed || exchange != self->m_exchanges)
+            return;
+        // An endpoint may answer and stop reading before it has the whole body: the answer still counts.
+        self->m_isWriteDone = !error;
+    });
+    readHead();
+}
+
+void endpoint_channel::readHead()
+{
+    m_parser.emplace();
+    m_parser->header_limit(answerHeadLimitBytes);
+    m_parser->body_limit(std::numeric_limits<uint64_t>::max());
+    http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code& error, size_t) {
+        self->takeHead(error);
+    });
+}
+
+void endpoint_channel::takeHead(const error_code& error)
+{
+    if (m_isClosed || !m_isActive)
+        return;
+    if (error)
+        return finish(exchange_end::Broken);
+    const auto& head = m_parser->get();
+    if (head.result_int() / statusesPerClass == informationalClass)
+        return readHead();
+    std::vector<Http::header> headers;
+    for (const auto& line : head)
+        headers.push_back({ std::string(line.name_string()), std::string(line.value()) });
+    if (!m_events.onHead(static_cast<int>(head.result_int()), headers))
+        return finish(exchange_end::Broken);
+    readBody();
+}
+
+void endpoint_channel::readBody()
+{
+    if (m_isClosed || !m_isActive)
+        return;
+    if (m_parser->is_done())
+        return finish(exchange_end::Complete);
+    m_parser->get().body().data = m_chunk.data();
+    m_parser->get().body().size = m_chunk.size();
+    m_parser->get().body().more = true;
+    http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code error, size_t) {
+        if (self->m_isClosed || !self->m_isActive)
+            return;
+        if (error == http::error::need_buffer)
+            error = {};
+        const size_t size = self->m_chunk.size() - self->m_parser->get().body().size;
+        if (size > 0)
+            self->m_events.onBytes({ self->m_chunk.data(), size });
+        if (self->m_isClosed || !self->m_isActive)
+            return;
+        if (error)
+            return self->finish(exchange_end::Broken);
+        self->readBody();
+    });
+}
+
+void endpoint_channel::finish(exchange_end end)
+{
+    if (!m_isActive)
+        return;
+    m_isActive = false;
+    m_timer.cancel();
+    const bool isReusable = end == exchange_end::Complete && m_isWriteDone && m_parser->keep_alive() && m_buffer.size() == 0;
+    if (!isReusable)
+        cancel();
+    const exchange_events events = std::move(m_events);
+    m_events = {};
+    m_request.clear();
+    events.onEnd(end, isReusable);
+}
+
+void endpoint_channel::cancel()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    m_isActive = false;
+    m_timer.cancel();
+    error_code ignored;
+    // The endpoint stops its work when the connection closes; a failed close changes nothing.
+    m_socket.close(ignored);
+}
+
+void endpoint_channel::watchIdle()
+{
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchanges](const error_code& error) {
+        if (error || self->m_isClosed || exchange != self->m_exchanges)
+            return;
+        // A close, or bytes that belong to no request.
+        self->cancel();
+    });
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/EventStream.cpp
@@ -0,0 +1,73 @@
+#include "Gateway/EventStream.h"
+
+#include "Common/Text.h"
+
+namespace Gateway {
+
+namespace {
+
+    constexpr std::string_view idField = "id:";
+
+    /// @return the event's id, when it has one that is a number.
+    std::optional<uint64_t> findId(std::string_view event)
+    {
+        size_t start = 0;
+        while (start < event.size()) {
+            const size_t end = std::min(event.find('\n', start), event.size());
+            std::string_view line = event.substr(start, end - start);
+            start = end + 1;
+            if (!line.starts_with(idField))
+                continue;
+            line.remove_prefix(idField.size());
+            while (!line.empty() && (line.front() == ' '))
+                line.remove_prefix(1);
+            while (!line.empty() && line.back() == '\r')
+                line.remove_suffix(1);
+            return Common::parseUnsigned(line);
+        }
+        return {};
+    }
+
+    /// @return the length of the first complete event with its blank line, or zero.
+    size_t findEnd(std::string_view bytes)
+    {
+        const size_t plain = bytes.find("\n\n");
+        const size_t carriage = bytes.find("\n\r\n");
+        if (plain == std::string_view::npos && carriage == std::string_view::npos)
+            return 0;
+        return plain < carriage ? plain + 2 : carriage + 3;
+    }
+
+} // namespace
+
+std::string takeEvents(event_reader& reader, std::string_view bytes)
+{
+    reader.partial += bytes;
+    std::string passedOn;
+    size_t start = 0;
+    while (true) {
+        const std::string_view rest = std::string_view(reader.partial).substr(start);
+        const size_t size = findEnd(rest);
+        if (size == 0)
+            break;
+        const std::string_view event = rest.substr(0, size);
+        start += size;
+        const auto id = findId(event);
+        if (id && reader.skipUpTo && *id <= *reader.skipUpTo)
+            continue;
+        if (id)
+            reader.lastId = id;
+        ++reader.events;
+        passedOn += event;
+    }
+    reader.partial.erase(0, start);
+    return passedOn;
+}
+
+void beginResumption(event_reader& reader)
+{
+    reader.partial.clear();
+    reader.skipUpTo = reader.lastId;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -0,0 +1,752 @@
+#include "Gateway/GatewayDuty.h"
+
+#include "Common/Log.h"
+#include "Common/Metrics.h"
+#include "Common/Text.h"
+#include "Gateway/Call.h"
+#include "Gateway/ChannelPool.h"
+#include "Limits/RepeatBudget.h"
+
+#include <atomic>
+#include <unordered_map>
+#include <unordered_set>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+namespace Gateway {
+
+namespace {
+
+    using boost::asio::ip::tcp;
+    using boost::system::error_code;
+
+    constexpr size_t ringCapacity = 4096;
+    /// How often grants, usage and demand are reported: the allowances are shared within this time.
+    constexpr milliseconds reportInterval { 250 };
+    /// Taken off an endpoint's time budget for the way back.
+    constexpr milliseconds returnAllowance { 5 };
+    /// Connecting within a region takes tens of milliseconds; a silent machine must not eat the time budget.
+    constexpr milliseconds connectLimit { 400 };
+    /// An attempt with less time left than this is not worth its arrival.
+    constexpr milliseconds leastAttemptTime { 20 };
+    /// Waiting time of callers that state none on routes without a limit.
+    constexpr milliseconds assumedTimeBudget { 30000 };
+    /// Callers that were refused for want of an endpoint may come back after this.
+    constexpr milliseconds retryWhenNotReady { 500 };
+    constexpr milliseconds retryWhenLeaving { 100 };
+    /// A leaving node takes requests this long: callers keep a directory answer for three times its life at most.
+    constexpr double takesWorkShareOfGrace = 0.75;
+    /// Then it waits for answers in progress until this share of the grace.
+    constexpr double finishShareOfGrace = 0.93;
+    constexpr int successClass = 2;
+    constexpr int serverFailureClass = 5;
+    constexpr int statusesPerClass = 100;
+    constexpr uint32_t mostUrgency = 9;
+
+    double toMs(Common::duration time)
+    {
+        return std::chrono::duration<double, std::milli>(time).count();
+    }
+
+    Common::instant clockNow()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    tcp::endpoint parseListenAddress(const std::string& address)
+    {
+        const size_t colon = address.rfind(':');
+        const auto port = Common::parseUnsigned(address.substr(colon + 1)).value_or(0);
+        return { boost::asio::ip::make_address(address.substr(0, colon)), static_cast<uint16_t>(port) };
+    }
+
+    std::string_view pathOf(std::string_view target)
+    {
+        return target.substr(0, target.find('?'));
+    }
+
+    std::string errorBody(std::string_view error)
+    {
+        return fmt::format("{{\"error\":\"{}\"}}", error);
+    }
+
+    std::string writeRequest(const call& item, const std::vector<Http::header>& lines)
+    {
+        std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", item.request.method, item.request.target);
+        for (const Http::header& line : lines) {
+            bytes += line.name;
+            bytes += ": ";
+            bytes += line.value;
+            bytes += "\r\n";
+        }
+        if (!item.request.body.empty() || item.request.method == "POST" || item.request.method == "PUT")
+            bytes += fmt::format("Content-Length: {}\r\n", item.request.body.size());
+        bytes += "\r\n";
+        bytes += item.request.body;
+        return bytes;
+    }
+
+    bool isSuccess(int status)
+    {
+        return status / statusesPerClass == successClass;
+    }
+
+} // namespace
+
+struct gateway_duty::implementation {
+    gateway_settings settings;
+    gateway_outlets outlets;
+    boost::asio::io_context context { 1 };
+    tcp::acceptor acceptor { context };
+    boost::asio::steady_timer reportTimer { context };
+    boost::asio::steady_timer leaveTimer { context };
+    Common::ring<gateway_message> inbox { ringCapacity };
+    std::vector<gateway_message> batch;
+    session_events sessionEvents;
+    channel_pool channels { context };
+    std::unordered_set<caller_session_pointer> sessions;
+    std::unordered_map<caller_session*, std::unique_ptr<call>> calls;
+    std::atomic<size_t> callCount { 0 };
+    uint64_t lastCall { 0 };
+
+    Catalog::catalog_pointer catalog;
+    Scheduling::scheduler_state scheduler;
+    Quota::ledger quota;
+    Limits::repeat_budgets repeats;
+    std::map<Common::service_name, version_shares_known> versionShares;
+    interval_report interval;
+    std::optional<Common::instant> leavingSince;
+
+    // --- Sessions
+
+    void open()
+    {
+        const tcp::endpoint address = parseListenAddress(settings.facts.listen.callers);
+        acceptor.open(address.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(address);
+        acceptor.listen(boost::asio::socket_base::max_listen_connections);
+        accept();
+    }
+
+    void accept()
+    {
+        acceptor.async_accept([this](const error_code& error, tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted)
+                return;
+            if (!error) {
+                auto session = std::make_shared<caller_session>(std::move(socket), sessionEvents);
+                sessions.insert(session);
+                session->start();
+            } else {
+                Common::logEvent(Common::log_level::Warning, "accept_failed", { { "problem", error.message() } });
+            }
+            accept();
+        });
+    }
+
+    void setSessionEvents()
+    {
+        sessionEvents.onRequest = [this](const caller_session_pointer& session, arrived_request&& request) { begin(session, std::move(request)); };
+        sessionEvents.onGone = [this](caller_session& session) { abandon(session); };
+        sessionEvents.onClosed = [this](caller_session& session) { sessions.erase(session.shared_from_this()); };
+        sessionEvents.limits = [this] { return catalog ? catalog->limits : Catalog::input_limits {}; };
+    }
+
+    // --- A request from its arrival to its placement
+
+    void begin(const caller_session_pointer& session, arrived_request&& request)
+    {
+        auto owned = std::make_unique<call>();
+        call& item = *owned;
+        item.id = { ++lastCall };
+        item.session = session;
+        item.arrived = clockNow();
+        item.facts = settings.wire.readRequest(request.headers);
+        item.request = std::move(request);
+        calls[session.get()] = std::move(owned);
+        callCount = calls.size();
+        if (!admit(item))
+            return;
+        place(item);
+    }
+
+    bool admit(call& item)
+    {
+        item.catalog = catalog;
+        if (!catalog)
+            return refuse(item, 503, "not_ready", retryWhenNotReady);
+        item.route = Catalog::findRoute(*catalog, Http::findHeader(item.request.headers, "host"), pathOf(item.request.target));
+        if (!item.route)
+            return refuse(item, 404, "unknown_route", {});
+        if (!authorize(item))
+            return refuse(item, 401, "unknown_key", {});
+        if (isPastTakingWork())
+            return refuse(item, 503, "leaving", retryWhenLeaving);
+        setTimes(item);
+        item.service = Catalog::chooseService(*item.route, Common::uniformUnit(scheduler.random));
+        Limits::countRequest(repeats, item.service, item.arrived);
+        return takeAllowance(item);
+    }
+
+    bool authorize(call& item)
+    {
+        item.urgency = item.route->priority;
+        if (catalog->accounts.empty() || item.route->isPublic)
+            return true;
+        const Catalog::account* account = Catalog::findAccount(*catalog, item.facts.key);
+        if (!account)
+            return false;
+        item.account = account->id;
+        item.urgency = account->priority.value_or(item.route->priority);
+        return true;
+    }
+
+    void setTimes(call& item)
+    {
+        milliseconds budget = item.facts.timeBudget.value_or(assumedTimeBudget);
+        if (item.route->timeout.count() > 0)
+            budget = std::min(budget, item.route->timeout);
+        item.deadline = item.arrived + budget;
+        item.progress.mayRepeat = Catalog::mayRepeat(*item.route);
+        item.progress.isResumable = item.route->isResumable;
+        item.progress.maxEndpoints = item.route->maxEndpoints;
+        item.timer = std::make_unique<boost::asio::steady_timer>(context, item.deadline);
+        item.timer->async_wait([this, session = item.session.get(), id = item.id](const error_code& error) {
+            if (error)
+                return;
+            call* late = find(session, id);
+            if (late)
+                expire(*late);
+        });
+    }
+
+    bool takeAllowance(call& item)
+    {
+        if (item.account.value.empty())
+            return true;
+        const Catalog::account* account = Catalog::findAccount(*catalog, item.facts.key);
+        double amount = 1;
+        if (account->allowed.countsTokens)
+            amount = item.facts.model ? item.facts.model->promptTokens + item.facts.model->mostOutputTokens : static_cast<double>(account->allowed.plainTokens);
+        const Quota::grant grant = Quota::take(quota, item.account, amount, item.arrived);
+        if (!grant.isGranted)
+            return refuse(item, 429, "over_allowance", grant.retryAfter);
+        item.granted = amount;
+        return true;
+    }
+
+    Scheduling::work workOf(const call& item) const
+    {
+        Scheduling::work work;
+        work.service = item.service;
+        work.model = item.facts.model;
+        work.target = item.route->target;
+        work.arrived = item.arrived;
+        work.deadline = item.deadline;
+        work.urgency = item.urgency;
+        work.bodyBytes = item.request.body.size();
+        return work;
+    }
+
+    std::optional<Common::version_name> chooseVersion(const call& item)
+    {
+        constexpr uint32_t thousandths = 1000;
+        const auto known = versionShares.find(item.service);
+        if (known == versionShares.end() || known->second.current.value.empty())
+            return {};
+        uint32_t draw = Common::uniformBelow(scheduler.random, thousandths);
+        for (const auto& [version, share] : known->second.shares) {
+            if (draw < share)
+                return version;
+            draw -= share;
+        }
+        return known->second.current;
+    }
+
+    void place(call& item)
+    {
+        const Common::instant now = clockNow();
+        Scheduling::placement_limits limits;
+        limits.avoided = item.tried;
+        limits.version = chooseVersion(item);
+        const auto placed = Scheduling::place(scheduler, workOf(item), limits, now);
+        if (placed)
+            return send(item, *placed);
+        if (item.progress.endpointsRun > 0 || item.progress.hasHeadSent)
+            return failUnknown(item, Scheduling::nameOf(placed.error().reason));
+        refuse(item, 503, Scheduling::nameOf(placed.error().reason), placed.error().retryAfter);
+    }
+
+    // --- An attempt at an endpoint
+
+    void send(call& item, const Scheduling::placement& where)
+    {
+        item.current.emplace();
+        item.current->where = where;
+        item.current->version = scheduler.endpoints.at(where.endpoint).facts.version;
+        item.tried.insert(where.endpoint);
+        ++item.sends;
+        noteDemand(item);
+        attempt_facts told;
+        told.timeBudget = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(item.deadline - clockNow()) - returnAllowance);
+        told.endpoint = where.endpoint;
+        told.account = item.account;
+        if (item.facts.model)
+            told.urgency = std::min(item.urgency, mostUrgency);
+        if (item.events.lastId)
+            told.resumeAfter = std::to_string(*item.events.lastId);
+        item.current->channel = channels.take(where.address, item.route->kind == Catalog::route_kind::Idempotent);
+        observe(item, attempt_seen::event::Begun);
+        item.current->channel->exchange(writeRequest(item, settings.wire.writeAttempt(item.facts, told)), connectLimit, makeEvents(item));
+    }
+
+    exchange_events makeEvents(const call& item)
+    {
+        exchange_events events;
+        caller_session* session = item.session.get();
+        const call_id id = item.id;
+        events.onHead = [this, session, id](int status, const std::vector<Http::header>& headers) {
+            call* known = find(session, id);
+            return known && takeHead(*known, status, headers);
+        };
+        events.onBytes = [this, session, id](std::string_view bytes) {
+            call* known = find(session, id);
+            if (known)
+                takeBytes(*known, bytes);
+        };
+        events.onEnd = [this, session, id](exchange_end end, bool isReusable) {
+            call* known = find(session, id);
+            if (known)
+                takeEnd(*known, end, isReusable);
+        };
+        return events;
+    }
+
+    bool takeHead(call& item, int status, const std::vector<Http::header>& headers)
+    {
+        attempt& current = *item.current;
+        current.status = status;
+        current.answer = settings.wire.readAnswer(headers);
+        if (current.answer.load)
+            Scheduling::noteStatedLoad(scheduler, current.where.endpoint, *current.answer.load, clockNow());
+        current.isForeign = !item.facts.attemptId.empty() && !current.answer.attemptId.empty() && current.answer.attemptId != item.facts.attemptId;
+        const bool isTrusted = !current.isForeign && current.answer.isSealed && !current.answer.hasContentEncoding;
+        if (isSuccess(status) && !isTrusted)
+            return false;
+        current.hasEvents = isSuccess(status) && item.route->kind == Catalog::route_kind::Stream;
+        return !current.isForeign;
+    }
+
+    void takeBytes(call& item, std::string_view bytes)
+    {
+        attempt& current = *item.current;
+        if (!current.hasBegun)
+            noteBegun(item);
+        if (!current.hasEvents) {
+            current.body += bytes;
+            return;
+        }
+        const std::string events = takeEvents(item.events, bytes);
+        if (events.empty())
+            return;
+        if (!item.progress.hasHeadSent) {
+            item.progress.hasHeadSent = true;
+            item.firstByteMs = toMs(clockNow() - item.arrived);
+            item.session->beginStream(current.status, current.answer.passedOn, leavingSince.has_value());
+        }
+        item.session->streamBytes(events);
+    }
+
+    void noteBegun(call& item)
+    {
+        attempt& current = *item.current;
+        current.hasBegun = true;
+        if (current.answer.hasNotRun)
+            return;
+        const Common::instant now = clockNow();
+        if (isSuccess(current.status))
+            Scheduling::noteBegun(scheduler, current.where.endpoint, current.where.id, now);
+        if (item.isCounted)
+            return;
+        item.isCounted = true;
+        if (!item.account.value.empty())
+            interval.begun.push_back({ item.account, now });
+    }
+
+    attempt_end classify(const call& item, exchange_end end) const
+    {
+        const attempt& current = *item.current;
+        if (end == exchange_end::NotSent)
+            return attempt_end::NotSent;
+        if (end == exchange_end::Broken)
+            return attempt_end::Broken;
+        constexpr int misdirectedStatus = 421;
+        if (current.answer.hasNotRun || current.status == misdirectedStatus)
+            return attempt_end::NotRun;
+        if (!current.answer.isSealed)
+            return attempt_end::Broken;
+        return current.status / statusesPerClass == serverFailureClass ? attempt_end::Failed : attempt_end::Answered;
+    }
+
+    void takeEnd(call& item, exchange_end end, bool isReusable)
+    {
+        attempt& current = *item.current;
+        if (isReusable)
+            channels.giveBack(current.where.address, current.channel, current.answer.keepAlive);
+        // A whole stream whose last event is cut short is no whole answer.
+        if (end == exchange_end::Complete && current.hasEvents && !item.events.partial.empty())
+            end = exchange_end::Broken;
+        const attempt_end outcome = classify(item, end);
+        if (outcome != attempt_end::NotSent && outcome != attempt_end::NotRun && !current.hasBegun)
+            noteBegun(item);
+        noteAttemptEnd(item, outcome);
+        follow(item, outcome, decide(item, outcome));
+    }
+
+    void noteAttemptEnd(call& item, attempt_end outcome)
+    {
+        attempt& current = *item.current;
+        Scheduling::noteEnded(scheduler, current.where.endpoint, current.where.id, placementEndOf(outcome), clockNow());
+        Common::countMetric(fmt::format("filbertreel_attempts_total{{service=\"{}\",end=\"{}\"}}", item.service.value, nameOf(outcome)));
+        observe(item, seenEventOf(item, outcome));
+        if (outcome == attempt_end::NotSent || outcome == attempt_end::NotRun)
+            ++item.progress.refusals;
+        else
+            ++item.progress.endpointsRun;
+    }
+
+    static Scheduling::placement_end placementEndOf(attempt_end outcome)
+    {
+        switch (outcome) {
+        case attempt_end::NotSent:
+            return Scheduling::placement_end::Unreachable;
+        case attempt_end::NotRun:
+            return Scheduling::placement_end::NotRun;
+        case attempt_end::Answered:
+            return Scheduling::placement_end::Served;
+        case attempt_end::Failed:
+        case attempt_end::Broken:
+            return Scheduling::placement_end::Failed;
+        case attempt_end::TimedOut:
+            return Scheduling::placement_end::Abandoned;
+        }
+        return Scheduling::placement_end::Abandoned;
+    }
+
+    attempt_seen::event seenEventOf(const call& item, attempt_end outcome) const
+    {
+        switch (outcome) {
+        case attempt_end::Answered:
+            return toMs(clockNow() - item.arrived) > toMs(item.route->target) && !item.progress.hasHeadSent ? attempt_seen::event::Late : attempt_seen::event::Good;
+        case attempt_end::Failed:
+        case attempt_end::Broken:
+        case attempt_end::TimedOut:
+            return attempt_seen::event::Failed;
+        case attempt_end::NotSent:
+        case attempt_end::NotRun:
+            return attempt_seen::event::Abandoned;
+        }
+        return attempt_seen::event::Abandoned;
+    }
+
+    void observe(const call& item, attempt_seen::event what) const
+    {
+        if (outlets.attemptSeen && versionShares.contains(item.service))
+            outlets.attemptSeen({ item.service, item.current->version, item.route->name, what });
+    }
+
+    next_step decide(call& item, attempt_end outcome)
+    {
+        item.progress.hasTimeLeft = item.deadline - clockNow() > leastAttemptTime;
+        next_step step = decideNext(item.progress, outcome);
+        if (step != next_step::TryAnother || Limits::takeRepeat(repeats, item.service, clockNow()))
+            return step;
+        Common::countMetric("filbertreel_repeats_refused_total");
+        item.progress.hasTimeLeft = false;
+        return decideNext(item.progress, outcome);
+    }
+
+    void follow(call& item, attempt_end outcome, next_step step)
+    {
+        switch (step) {
+        case next_step::TryAnother:
+        case next_step::TryAnotherFreely:
+            logAttempt(item, outcome);
+            if (item.progress.hasHeadSent)
+                beginResumption(item.events);
+            return place(item);
+        case next_step::GiveAnswer:
+            return giveAnswer(item);
+        case next_step::Refuse:
+            refuse(item, 503, nameOf(outcome), retryWhenNotReady);
+            return;
+        case next_step::FailUnknown:
+            return failUnknown(item, nameOf(outcome));
+        case next_step::FailTimeout:
+            return fail(item, 504, nameOf(outcome));
+        case next_step::CutAnswer:
+            return cut(item, nameOf(outcome));
+        }
+    }
+
+    // --- Ends of a request
+
+    void giveAnswer(call& item)
+    {
+        attempt& current = *item.current;
+        if (item.progress.hasHeadSent) {
+            item.session->endStream();
+        } else {
+            item.firstByteMs = toMs(clockNow() - item.arrived);
+            item.session->respond(current.status, current.answer.passedOn, current.body, leavingSince.has_value());
+        }
+        finish(item, "answered", current.status);
+    }
+
+    /// @return false, so that admission can end with it.
+    bool refuse(call& item, int status, std::string_view reason, std::optional<milliseconds> retryAfter)
+    {
+        if (item.granted > 0)
+            Quota::giveBack(quota, item.account, item.granted);
+        Common::countMetric(fmt::format("filbertreel_refusals_total{{reason=\"{}\"}}", reason));
+        if (retryAfter && item.facts.timeBudget)
+            retryAfter = std::min(*retryAfter, *item.facts.timeBudget / 3);
+        item.session->respond(status, settings.wire.writeOwnAnswer(item.facts, retryAfter), errorBody(reason), leavingSince.has_value());
+        finish(item, reason, status);
+        return false;
+    }
+
+    void failUnknown(call& item, std::string_view reason)
+    {
+        if (item.progress.hasHeadSent)
+            return cut(item, reason);
+        fail(item, 502, reason);
+    }
+
+    void fail(call& item, int status, std::string_view reason)
+    {
+        item.session->respond(status, settings.wire.writeOwnAnswer(item.facts, {}), errorBody(reason), leavingSince.has_value());
+        finish(item, reason, status);
+    }
+
+    void cut(call& item, std::string_view reason)
+    {
+        const caller_session_pointer session = item.session;
+        finish(item, reason, 0);
+        session->abort();
+    }
+
+    void expire(call& item)
+    {
+        if (!item.current || !item.current->channel) {
+            refuse(item, 503, "too_late", {});
+            return;
+        }
+        item.current->channel->cancel();
+        noteAttemptEnd(item, attempt_end::TimedOut);
+        follow(item, attempt_end::TimedOut, decideNext(item.progress, attempt_end::TimedOut));
+    }
+
+    void abandon(caller_session& session)
+    {
+        const auto found = calls.find(&session);
+        if (found == calls.end())
+            return;
+        call& item = *found->second;
+        if (item.current && item.current->channel) {
+            item.current->channel->cancel();
+            Scheduling::noteEnded(scheduler, item.current->where.endpoint, item.current->where.id, Scheduling::placement_end::Abandoned, clockNow());
+            observe(item, attempt_seen::event::Abandoned);
+        }
+        finish(item, "caller_gone", 0);
+    }
+
+    void finish(call& item, std::string_view outcome, int status)
+    {
+        logEnd(item, outcome, status);
+        if (item.route)
+            Common::countMetric(fmt::format("filbertreel_requests_total{{route=\"{}\",outcome=\"{}\"}}", item.route->name.value, outcome));
+        if (item.firstByteMs > 0)
+            Common::observeMetric("filbertreel_first_byte_seconds", item.firstByteMs / 1000);
+        calls.erase(item.session.get());
+        callCount = calls.size();
+    }
+
+    call* find(caller_session* session, call_id id)
+    {
+        const auto found = calls.find(session);
+        return found != calls.end() && found->second->id == id ? found->second.get() : nullptr;
+    }
+
+    // --- Logs
+
+    void logAttempt(const call& item, attempt_end outcome) const
+    {
+        Common::logEvent(Common::log_level::Info, "attempt_repeated", { { "request", item.facts.attemptId }, { "end", nameOf(outcome) }, { "endpoint", item.current->where.endpoint.value }, { "status", item.current->status }, { "sends", item.sends } });
+    }
+
+    void logEnd(const call& item, std::string_view outcome, int status) const
+    {
+        nlohmann::json fields { { "request", item.facts.attemptId }, { "outcome", outcome }, { "status", status }, { "ms", std::llround(toMs(clockNow() - item.arrived)) } };
+        fields["catalog"] = item.catalog ? item.catalog->version : 0;
+        if (item.route)
+            fields["route"] = item.route->name.value;
+        if (!item.account.value.empty())
+            fields["account"] = item.account.value;
+        if (item.facts.timeBudget)
+            fields["budget_ms"] = item.facts.timeBudget->count();
+        if (item.firstByteMs > 0)
+            fields["first_ms"] = std::llround(item.firstByteMs);
+        if (item.current) {
+            fields["endpoint"] = item.current->where.endpoint.value;
+            fields["predicted_ms"] = std::llround(item.current->where.predictedMs);
+            fields["fresh_tokens"] = std::llround(item.current->where.freshTokens);
+            fields["sends"] = item.sends;
+        }
+        if (item.facts.model)
+            fields["prompt_tokens"] = item.facts.model->promptTokens;
+        Common::logEvent(Common::log_level::Info, "request_ended", std::move(fields));
+    }
+
+    // --- What other duties tell
+
+    void takeMessages()
+    {
+        inbox.drainInto(batch);
+        for (gateway_message& message : batch)
+            std::visit([this](auto& item) { take(item); }, message);
+    }
+
+    void take(catalog_known& message)
+    {
+        if (catalog && message.catalog->version <= catalog->version)
+            return;
+        catalog = message.catalog;
+        Quota::setAllowances(quota, *catalog, clockNow());
+        Common::setMetric("filbertreel_catalog_version", static_cast<double>(catalog->version));
+    }
+
+    void take(endpoints_known& message)
+    {
+        const Common::instant now = clockNow();
+        for (const auto& [id, item] : message.endpoints)
+            Scheduling::noteEndpoint(scheduler, item, now);
+        std::vector<Common::endpoint_id> gone;
+        for (const auto& [id, item] : scheduler.endpoints) {
+            if (!message.endpoints.contains(id))
+                gone.push_back(id);
+        }
+        for (const Common::endpoint_id& id : gone)
+            Scheduling::dropEndpoint(scheduler, id);
+    }
+
+    void take(peers_known& message)
+    {
+        Quota::setPeers(quota, message.peers, clockNow());
+        repeats.nodes = message.peers.size() + 1;
+    }
+
+    void take(grants_heard& message)
+    {
+        Quota::hearReport(quota, message.report, clockNow());
+    }
+
+    void take(version_shares_known& message)
+    {
+        versionShares[message.service] = message;
+    }
+
+    void take(leave_begun&)
+    {
+        if (leavingSince)
+            return;
+        leavingSince = clockNow();
+        const auto grace = settings.facts.bounds.grace;
+        leaveTimer.expires_after(std::chrono::duration_cast<milliseconds>(grace * takesWorkShareOfGrace));
+        leaveTimer.async_wait([this](const error_code& error) {
+            if (error)
+                return;
+            for (const caller_session_pointer& session : std::vector<caller_session_pointer>(sessions.begin(), sessions.end()))
+                session->closeWhenIdle();
+        });
+    }
+
+    bool isPastTakingWork() const
+    {
+        return leavingSince && clockNow() - *leavingSince > settings.facts.bounds.grace * takesWorkShareOfGrace;
+    }
+
+    // --- Reports to other duties
+
+    void noteDemand(const call& item)
+    {
+        demand_sample& sample = interval.demand[item.service];
+        sample.requests += 1;
+        if (!item.facts.model)
+            return;
+        sample.promptTokens += item.facts.model->promptTokens;
+        sample.freshTokens += item.current->where.freshTokens;
+        sample.outputTokens += item.facts.model->expectedOutputTokens.value_or(item.facts.model->mostOutputTokens);
+    }
+
+    void reportLater()
+    {
+        reportTimer.expires_after(reportInterval);
+        reportTimer.async_wait([this](const error_code& error) {
+            if (error)
+                return;
+            interval.grants = Quota::makeReport(quota, clockNow());
+            interval.grants.node = settings.facts.node;
+            interval.grants.incarnation = settings.incarnation;
+            interval.inFlight = calls.size();
+            outlets.report(std::move(interval));
+            interval = {};
+            reportLater();
+        });
+    }
+};
+
+gateway_duty::gateway_duty(gateway_settings settings, gateway_outlets outlets)
+    : m_implementation(std::make_unique<implementation>())
+{
+    implementation& self = *m_implementation;
+    self.settings = std::move(settings);
+    self.outlets = std::move(outlets);
+    const Fleet::node_facts& facts = self.settings.facts;
+    self.scheduler.here = { facts.zone, facts.region, facts.regions };
+    self.scheduler.random = Common::random_source(self.settings.seed);
+    self.quota.startsEmpty = !facts.isFirstStart;
+    self.repeats.rules = { facts.bounds.repeatRatio, facts.bounds.repeatSlack, facts.bounds.repeatWindow };
+    self.setSessionEvents();
+    self.inbox.setWaker([&self] { boost::asio::post(self.context, [&self] { self.takeMessages(); }); });
+}
+
+gateway_duty::~gateway_duty() = default;
+
+bool gateway_duty::submit(gateway_message&& message)
+{
+    return m_implementation->inbox.push(message);
+}
+
+void gateway_duty::run()
+{
+    m_implementation->open();
+    m_implementation->reportLater();
+    m_implementation->context.run();
+}
+
+void gateway_duty::stop()
+{
+    m_implementation->context.stop();
+}
+
+size_t gateway_duty::inFlight() const
+{
+    return m_implementation->callCount;
+}
+
+} // namespace Gateway
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -84,7 +84,19 @@
         return restinio::request_accepted();
     }
 
-    auto makeSettings()
+    std::vector<std::pair<std::string, uint16_t>> listenAddresses() const
+    {
+        if (settings.listen.empty())
+            return { { settings.address, settings.port } };
+        std::vector<std::pair<std::string, uint16_t>> addresses;
+        for (const std::string& text : settings.listen) {
+            const size_t colon = text.rfind(':');
+            addresses.emplace_back(text.substr(0, colon), static_cast<uint16_t>(std::stoul(text.substr(colon + 1))));
+        }
+        return addresses;
+    }
+
+    auto makeSettings(const std::string& address, uint16_t port)
     {
         restinio::incoming_http_msg_limits_t limits;
         limits.max_body_size(settings.maxBodyBytes);
@@ -93,8 +105,8 @@
         limits.max_field_value_size(settings.maxHeaderBytes);
         limits.max_url_size(settings.maxHeaderBytes);
         restinio::server_settings_t<server_traits> made;
-        made.address(settings.address)
-            .port(settings.port)
+        made.address(address)
+            .port(port)
             .request_handler([this](const restinio::request_handle_t& request) { return take(request); })
             .read_next_http_message_timelimit(settings.readTimeout)
             .write_http_response_timelimit(settings.writeTimeout)
@@ -124,10 +136,12 @@
 
 void server::run()
 {
-    restinio::http_server_t<server_traits> served {
-        restinio::external_io_context(m_implementation->context), m_implementation->makeSettings()
-    };
-    served.open_sync();
+    std::vector<std::unique_ptr<restinio::http_server_t<server_traits>>> served;
+    for (const auto& [address, port] : m_implementation->listenAddresses()) {
+        served.push_back(std::make_unique<restinio::http_server_t<server_traits>>(
+            restinio::external_io_context(m_implementation->context), m_implementation->makeSettings(address, port)));
+        served.back()->open_sync();
+    }
     const auto keepRunning = restinio::asio_ns::make_work_guard(m_implementation->context);
     m_implementation->context.run();
     m_implementation->answers.clear();
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -44,6 +44,7 @@
 struct server_settings {
     std::string address { "127.0.0.1" };
     uint16_t port { 0 };
+    std::vector<std::string> listen; ///< IP numbers and ports; replaces address and port when set.
     uint64_t maxBodyBytes { uint64_t { 1024 } * 1024 };
     size_t maxHeaderCount { 64 };
     size_t maxHeaderBytes { 8192 };
--- a/Source/Filbertreeld/Main.cpp
+++ b/Source/Filbertreeld/Main.cpp
@@ -2,9 +2,11 @@
 /// The node daemon: starts one entry node and leaves in order on SIGTERM, SIGINT or the cloud's notice.
 
 #include "Filbertreeld/Node.h"
+#include "Filbertreeld/PlatformNode.h"
 
 #include <csignal>
 #include <ctime>
+#include <string_view>
 #include <thread>
 
 namespace {
@@ -34,6 +36,8 @@
 
 int main(int argc, char** argv)
 {
+    if (argc == 2 && std::string_view(argv[1]) == "platform-node")
+        return Filbertreeld::runPlatformNode();
     const auto settings = Filbertreeld::parseSettings(argc, argv);
     if (!settings)
         return settings.error().code;
--- /dev/null
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -0,0 +1,260 @@
+#include "Filbertreeld/PlatformNode.h"
+
+#include "Common/Log.h"
+#include "Common/Random.h"
+#include "Control/ControlDuty.h"
+#include "Directory/DirectoryDuty.h"
+#include "Filbertreeld/Settings.h"
+#include "Gateway/GatewayDuty.h"
+#include "platform/CallHeaders.h"
+#include "platform/DirectoryCalls.h"
+#include "platform/RolloutCodec.h"
+#include "platform/SettingsFile.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <ctime>
+#include <thread>
+
+namespace Filbertreeld {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds leavePollInterval { 50 };
+    /// How long callers may keep an address: short, so that a node that leaves loses them soon.
+    constexpr milliseconds addressLife { 2000 };
+    /// Part of the grace after which a leaving node ends, whatever is still in progress.
+    constexpr double mostOfGrace = 0.93;
+    /// Part of the grace during which callers may still hold this node's address.
+    constexpr double callersComeShareOfGrace = 0.75;
+
+    Fleet::node_entry makeEntry(const Fleet::node_facts& facts, Common::incarnation_number incarnation)
+    {
+        Fleet::node_entry entry;
+        entry.node = facts.node;
+        entry.callersAddress = facts.listen.callers;
+        entry.peerAddress = facts.ip + ":" + std::to_string(facts.firstPeerPort);
+        entry.zone = facts.zone;
+        entry.region = facts.region;
+        entry.incarnation = incarnation;
+        entry.coreShare = facts.limits.coreShare;
+        return entry;
+    }
+
+    Directory::directory_settings makeDirectorySettings(const Fleet::node_facts& facts)
+    {
+        Directory::directory_settings made;
+        made.listen = { facts.listen.readiness };
+        if (!facts.listen.directory.empty() && facts.listen.directory != facts.listen.readiness)
+            made.listen.push_back(facts.listen.directory);
+        made.addressLife = std::min(addressLife, facts.bounds.longestAddressLife);
+        made.format = PlatformAdapter::makeQuestionFormat();
+        return made;
+    }
+
+} // namespace
+
+struct platform_node::implementation {
+    Fleet::node_facts facts;
+    Common::incarnation_number incarnation { static_cast<uint64_t>(Common::wallClockMilliseconds()) };
+    Directory::directory_duty directory;
+    Gateway::gateway_duty gateway;
+    Control::control_duty control;
+    std::vector<std::thread> threads;
+    std::atomic<bool> isLeaving { false };
+    std::atomic<bool> hasFailed { false };
+
+    explicit implementation(const Fleet::node_facts& given)
+        : facts(given)
+        , directory(makeDirectorySettings(given))
+        , gateway({ given, incarnation, PlatformAdapter::makeWireFormat(), Common::systemSeed() }, makeGatewayOutlets())
+        , control({ given, makeEntry(given, incarnation), PlatformAdapter::makePlatformCalls(), Common::systemSeed() }, makeControlOutlets())
+    {
+    }
+
+    Gateway::gateway_outlets makeGatewayOutlets()
+    {
+        Gateway::gateway_outlets outlets;
+        outlets.report = [this](Gateway::interval_report&& report) { static_cast<void>(control.submit(Control::interval_seen { std::move(report) })); };
+        outlets.attemptSeen = [this](Gateway::attempt_seen&& seen) { static_cast<void>(control.submit(std::move(seen))); };
+        return outlets;
+    }
+
+    Control::control_outlets makeControlOutlets()
+    {
+        Control::control_outlets outlets;
+        outlets.tellGateway = [this](Gateway::gateway_message&& message) {
+            if (std::holds_alternative<Gateway::catalog_known>(message) && !isLeaving)
+                directory.setReady(true);
+            static_cast<void>(gateway.submit(std::move(message)));
+        };
+        outlets.publishNodes = [this](const Fleet::node_map& nodes) { publishNodes(nodes); };
+        outlets.tellPeersLeaving = [](const Fleet::endpoint&) {};
+        outlets.tellPeersCatalog = [](uint64_t) {};
+        outlets.tellPeersEvidence = [](const Rollout::tell_evidence&) {};
+        outlets.tellPeersLatch = [](const Rollout::tell_latch&) {};
+        return outlets;
+    }
+
+    void publishNodes(const Fleet::node_map& nodes)
+    {
+        directory.setNodes(nodes);
+        Gateway::peers_known known;
+        for (const auto& [id, item] : nodes) {
+            if (id != facts.node)
+                known.peers.insert(id);
+        }
+        static_cast<void>(gateway.submit(std::move(known)));
+    }
+
+    template <typename duty_type>
+    void startThread(std::string_view name, duty_type& duty)
+    {
+        threads.emplace_back([this, name, &duty] {
+            try {
+                duty.run();
+            } catch (const std::exception& error) {
+                Common::logEvent(Common::log_level::Error, "duty_failed", { { "duty", name }, { "reason", error.what() } });
+                hasFailed = true;
+            }
+        });
+    }
+};
+
+platform_node::platform_node(const Fleet::node_facts& facts)
+    : m_implementation(std::make_unique<implementation>(facts))
+{
+}
+
+platform_node::~platform_node() = default;
+
+void platform_node::start()
+{
+    implementation& self = *m_implementation;
+    self.startThread("directory", self.directory);
+    self.startThread("gateway", self.gateway);
+    self.startThread("control", self.control);
+    Common::logEvent(Common::log_level::Info, "node_started", { { "incarnation", self.incarnation.value }, { "zone", self.facts.zone.value }, { "callers", self.facts.listen.callers } });
+}
+
+void platform_node::reload(const Fleet::node_facts& facts)
+{
+    static_cast<void>(m_implementation->control.submit(Control::settings_changed { facts }));
+}
+
+void platform_node::leave()
+{
+    implementation& self = *m_implementation;
+    const Common::instant begun = std::chrono::steady_clock::now();
+    const milliseconds grace = self.facts.bounds.grace;
+    Common::logEvent(Common::log_level::Info, "node_leaving", { { "grace_ms", grace.count() } });
+    self.isLeaving = true;
+    self.directory.setReady(false);
+    static_cast<void>(self.control.submit(Control::leave_begun {}));
+    static_cast<void>(self.gateway.submit(Gateway::leave_begun {}));
+    const auto elapsedShare = [&] { return (std::chrono::steady_clock::now() - begun) / std::chrono::duration<double>(grace); };
+    while (elapsedShare() < callersComeShareOfGrace)
+        std::this_thread::sleep_for(leavePollInterval);
+    while (elapsedShare() < mostOfGrace && self.gateway.inFlight() > 0)
+        std::this_thread::sleep_for(leavePollInterval);
+    Common::logEvent(Common::log_level::Info, "node_left", { { "unfinished", self.gateway.inFlight() } });
+}
+
+void platform_node::stop()
+{
+    implementation& self = *m_implementation;
+    self.control.stop();
+    self.gateway.stop();
+    self.directory.stop();
+    for (std::thread& thread : self.threads)
+        thread.join();
+    self.threads.clear();
+}
+
+bool platform_node::hasFailed() const
+{
+    return m_implementation->hasFailed;
+}
+
+namespace {
+
+    struct settings_source {
+        std::string path;
+        std::string text;
+    };
+
+    /// @return the facts, or nothing after the faults were logged.
+    std::optional<Fleet::node_facts> readFacts(settings_source& source)
+    {
+        auto text = PlatformAdapter::readSettingsFile(source.path);
+        if (!text) {
+            Common::logEvent(Common::log_level::Error, "settings_unreadable", { { "setting", text.error().name }, { "problem", text.error().problem } });
+            return {};
+        }
+        source.text = *text;
+        auto facts = PlatformAdapter::parseSettingsFile(source.text);
+        if (facts)
+            return *facts;
+        for (const PlatformAdapter::settings_fault& fault : facts.error())
+            Common::logEvent(Common::log_level::Error, "settings_unreadable", { { "setting", fault.name }, { "problem", fault.problem } });
+        return {};
+    }
+
+    sigset_t blockSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        sigaddset(&signals, SIGHUP);
+        // Threads inherit the mask, so that only this thread takes the signals.
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        // A caller that closes its connection must not end the process.
+        std::signal(SIGPIPE, SIG_IGN);
+        return signals;
+    }
+
+    void reloadWhenChanged(settings_source& source, platform_node& node)
+    {
+        const auto text = PlatformAdapter::readSettingsFile(source.path);
+        // A file that is being replaced is looked at again in a moment.
+        if (!text || *text == source.text)
+            return;
+        const auto facts = readFacts(source);
+        if (!facts)
+            return;
+        Common::logEvent(Common::log_level::Info, "settings_reloaded", { { "bytes", source.text.size() } });
+        node.reload(*facts);
+    }
+
+} // namespace
+
+int runPlatformNode()
+{
+    const sigset_t signals = blockSignals();
+    const char* path = std::getenv(PlatformAdapter::settingsPathVariable);
+    settings_source source { path ? path : "", {} };
+    Common::startLogging("starting", Common::log_level::Info);
+    const auto facts = readFacts(source);
+    if (!facts)
+        return exitBadSettings;
+    Common::startLogging(facts->node.value, Common::log_level::Info);
+    platform_node node(*facts);
+    node.start();
+    constexpr time_t settingsLookSeconds = 1;
+    int signal = 0;
+    while (signal != SIGTERM && signal != SIGINT && !node.hasFailed()) {
+        const timespec interval { settingsLookSeconds, 0 };
+        signal = sigtimedwait(&signals, nullptr, &interval);
+        reloadWhenChanged(source, node);
+    }
+    if (!node.hasFailed())
+        node.leave();
+    Common::logEvent(Common::log_level::Info, "node_stopped", { { "signal", signal }, { "failed", node.hasFailed() } });
+    node.stop();
+    return node.hasFailed() ? exitFailedToStart : exitOk;
+}
+
+} // namespace Filbertreeld
