--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -51,7 +51,10 @@
     Store::table_watch nodeWatch;
     Fleet::endpoint_book endpoints;
     Catalog::catalog_pointer catalog;
+    std::string catalogText; ///< In the platform's form, for peers that can't reach the store.
     Fleet::node_map nodes;
+    std::set<Common::node_id> deadNodes;
+    bool isRemovingNode { false };
     std::optional<store_reading> storeClock;
 
     bool isRegistered { false };
@@ -125,13 +128,19 @@
 
     void operatorRowsChanged()
     {
-        const auto newer = settings.calls.catalog(operatorWatch.rows, catalog ? catalog->version : 0);
-        if (newer) {
-            catalog = newer;
-            Common::logEvent(Common::log_level::Info, "catalog_in_force", { { "version", catalog->version }, { "routes", catalog->routes.size() }, { "accounts", catalog->accounts.size() } });
-            outlets.tellGateway(Gateway::catalog_known { catalog });
-            outlets.tellPeersCatalog(catalog->version);
-        }
+        adoptCatalog(operatorWatch.rows, "store");
+    }
+
+    void adoptCatalog(const std::map<std::string, Store::row>& rows, const char* source)
+    {
+        const auto newer = settings.calls.catalog(rows, catalog ? catalog->version : 0);
+        if (!newer)
+            return;
+        catalog = newer;
+        catalogText = rows.at(settings.calls.catalogKey).value;
+        Common::logEvent(Common::log_level::Info, "catalog_in_force", { { "version", catalog->version }, { "routes", catalog->routes.size() }, { "accounts", catalog->accounts.size() }, { "source", source } });
+        outlets.tellGateway(Gateway::catalog_known { catalog });
+        outlets.tellPeersCatalog(catalog->version);
     }
 
     void endpointRowsChanged()
@@ -155,9 +164,30 @@
         nodes.clear();
         for (const auto& [key, item] : nodeWatch.rows)
             nodes[{ key }] = Fleet::decodeNode({ key }, item.value);
+        // Another node has taken this one for dead.
+        if (isRegistered && !nodes.contains(settings.self.node))
+            isRegistered = false;
         outlets.publishNodes(nodes);
     }
 
+    /// Rows of nodes that ended without a word would hold back their share of the allowances for good.
+    void removeDeadNodes()
+    {
+        if (isRemovingNode)
+            return;
+        for (const Common::node_id& id : deadNodes) {
+            const auto known = nodeWatch.rows.find(id.value);
+            if (known == nodeWatch.rows.end() || id == settings.self.node)
+                continue;
+            isRemovingNode = true;
+            Store::transaction write;
+            write.conditions.push_back({ known->second.name, known->second.version });
+            write.removals.push_back(known->second.name);
+            Common::logEvent(Common::log_level::Info, "dead_node_removed", { { "member", id.value } });
+            return commit(write, [this](const Store::rows_answer&) { isRemovingNode = false; });
+        }
+    }
+
     // --- This node's own row
 
     void registerSelf(Common::instant now)
@@ -342,6 +372,7 @@
             return;
         reportUsage(now);
         orderEndpoints(now);
+        removeDeadNodes();
     }
 
     // --- Messages
@@ -363,8 +394,37 @@
 
     void take(newer_catalog_heard&& message)
     {
-        if (!catalog || message.version > catalog->version)
-            operatorWatch.wantsRefresh = true;
+        if (catalog && message.version <= catalog->version)
+            return;
+        operatorWatch.wantsRefresh = true;
+        // The store may be away for this node alone, or its feed silent.
+        outlets.askPeersCatalog(catalog ? catalog->version : 0);
+    }
+
+    void take(catalog_text_heard&& message)
+    {
+        Store::row item;
+        item.name = { settings.calls.operatorTable, "", settings.calls.catalogKey };
+        item.value = std::move(message.text);
+        adoptCatalog({ { settings.calls.catalogKey, std::move(item) } }, "peer");
+    }
+
+    void take(catalog_asked&& message)
+    {
+        if (catalog && catalog->version > message.after)
+            outlets.givePeerCatalog(message.peer, catalog->version, catalogText);
+    }
+
+    void take(dead_nodes_known&& message)
+    {
+        deadNodes = std::move(message.nodes);
+    }
+
+    void take(leave_ended&&)
+    {
+        Store::transaction write;
+        write.removals.push_back({ nodeTable, "", settings.self.node.value });
+        commit(write, [](const Store::rows_answer&) {});
     }
 
     void take(leave_begun&&)
--- a/Source/Core/Control/ControlDuty.h
+++ b/Source/Core/Control/ControlDuty.h
@@ -32,15 +32,35 @@
     uint64_t version { 0 };
 };
 
+/// A peer gives the catalog in the platform's form.
+struct catalog_text_heard {
+    uint64_t version { 0 };
+    std::string text;
+};
+
+/// A peer asks for the catalog, if it is newer than a version.
+struct catalog_asked {
+    Common::node_id peer;
+    uint64_t after { 0 };
+};
+
+/// Nodes that the peers have long found dead.
+struct dead_nodes_known {
+    std::set<Common::node_id> nodes;
+};
+
 /// This node begins to leave.
 struct leave_begun { };
 
+/// This node has left: its row goes.
+struct leave_ended { };
+
 /// The settings were read again.
 struct settings_changed {
     Fleet::node_facts facts;
 };
 
-using control_message = std::variant<interval_seen, leaving_heard, newer_catalog_heard, leave_begun, settings_changed, Gateway::attempt_seen, Rollout::peer_evidence, Rollout::peer_latch>;
+using control_message = std::variant<interval_seen, leaving_heard, newer_catalog_heard, catalog_text_heard, catalog_asked, dead_nodes_known, leave_begun, leave_ended, settings_changed, Gateway::attempt_seen, Rollout::peer_evidence, Rollout::peer_latch>;
 
 /// Where the duty's findings go. None of the functions may block.
 struct control_outlets {
@@ -49,6 +69,8 @@
     std::function<void(const Fleet::node_map&)> publishNodes;
     std::function<void(const Fleet::endpoint&)> tellPeersLeaving;
     std::function<void(uint64_t catalogVersion)> tellPeersCatalog;
+    std::function<void(uint64_t after)> askPeersCatalog;
+    std::function<void(const Common::node_id& peer, uint64_t version, std::string text)> givePeerCatalog;
     std::function<void(const Rollout::tell_evidence&)> tellPeersEvidence;
     std::function<void(const Rollout::tell_latch&)> tellPeersLatch;
 };
--- a/Source/Core/Membership/PeerCodec.cpp
+++ b/Source/Core/Membership/PeerCodec.cpp
@@ -172,4 +172,22 @@
     return item;
 }
 
+void encodeGrants(const Quota::node_report& item, filbertreel::peer::grant_report& record)
+{
+    for (const Quota::granted_total& account : item.accounts) {
+        auto* written = record.add_accounts();
+        written->set_account(account.account.value);
+        written->set_total(account.total);
+        written->set_demand_per_second(account.demandPerSecond);
+    }
+}
+
+Quota::node_report decodeGrants(const Common::node_id& node, Common::incarnation_number incarnation, const filbertreel::peer::grant_report& record)
+{
+    Quota::node_report report { node, incarnation, {} };
+    for (const auto& account : record.accounts())
+        report.accounts.push_back({ { account.account() }, account.total(), account.demand_per_second() });
+    return report;
+}
+
 } // namespace Membership
--- a/Source/Core/Membership/PeerCodec.h
+++ b/Source/Core/Membership/PeerCodec.h
@@ -7,10 +7,12 @@
 #include "Dispatch/Messages.h"
 #include "Endpoints/EndpointTable.h"
 #include "Membership/Members.h"
+#include "Quota/Quota.h"
 
 namespace filbertreel::peer {
 class configuration_changes;
 class envelope;
+class grant_report;
 class load_digest;
 class member_record;
 class request_handover;
@@ -68,4 +70,13 @@
 /// @return the evidence.
 Rollout::peer_evidence decodeEvidence(const Common::node_id& node, const filbertreel::peer::rollout_evidence& record);
 
+/// @param item what this node has granted.
+/// @param record filled with it.
+void encodeGrants(const Quota::node_report& item, filbertreel::peer::grant_report& record);
+/// @param node who granted.
+/// @param incarnation of the granting process.
+/// @param record what it sent.
+/// @return the report.
+Quota::node_report decodeGrants(const Common::node_id& node, Common::incarnation_number incarnation, const filbertreel::peer::grant_report& record);
+
 } // namespace Membership
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -158,6 +158,7 @@
     {
         envelope outgoing;
         outgoing.mutable_endpoint_leaving()->set_endpoint(message.endpoint.value);
+        outgoing.mutable_endpoint_leaving()->set_started_ms(message.startedMs);
         sendToLinks(outgoing);
     }
 
@@ -179,10 +180,7 @@
     {
         envelope outgoing;
         encodeEvidence(message.evidence, *outgoing.mutable_rollout_evidence());
-        for (const auto& [id, item] : state.members) {
-            if (item.status != member_status::Dead)
-                send(item.peerAddress, outgoing);
-        }
+        sendToAllAlive(outgoing);
     }
 
     void take(push_latch&& message)
@@ -194,6 +192,38 @@
         sendToLinks(outgoing);
     }
 
+    void sendToAllAlive(envelope& message)
+    {
+        for (const auto& [id, item] : state.members) {
+            if (item.status != member_status::Dead)
+                send(item.peerAddress, message);
+        }
+    }
+
+    void take(push_grants&& message)
+    {
+        envelope outgoing;
+        encodeGrants(message.report, *outgoing.mutable_grant_report());
+        sendToAllAlive(outgoing);
+    }
+
+    void take(pull_catalog&& message)
+    {
+        envelope outgoing;
+        outgoing.mutable_catalog_pull()->set_after_version(message.after);
+        const auto links = chooseLinks(settings.self.id, state.members);
+        if (!links.empty())
+            sendTo(links[pulls++ % links.size()], outgoing);
+    }
+
+    void take(give_catalog&& message)
+    {
+        envelope outgoing;
+        outgoing.mutable_catalog_text()->set_version(message.version);
+        outgoing.mutable_catalog_text()->set_text(std::move(message.text));
+        sendTo(message.peer, outgoing);
+    }
+
     void take(place_transfer&& message)
     {
         // Each new offer of a request goes to another peer than the one before.
@@ -275,6 +305,8 @@
         case envelope::kConfigurationPull:
             return outlets.tellConfiguration(Configuration::peer_pull { sender, { message.configuration_pull().after_version() } });
         case envelope::kEndpointLeaving:
+            if (message.endpoint_leaving().started_ms() != 0)
+                return outlets.startLeavingHeard({ message.endpoint_leaving().endpoint() }, message.endpoint_leaving().started_ms());
             return outlets.tellEndpoints(Endpoints::leaving_notice { { message.endpoint_leaving().endpoint() }, Endpoints::leaving_source::Peer });
         case envelope::kLoadDigest:
             return hearLoads(message.load_digest());
@@ -292,6 +324,12 @@
             return outlets.tellDispatch(Dispatch::holder_query { { message.request_query().request() }, sender });
         case envelope::kRequestLocation:
             return outlets.located({ message.request_location().request() }, message.request_location().http_address());
+        case envelope::kGrantReport:
+            return outlets.grantsHeard(decodeGrants(sender, { message.incarnation() }, message.grant_report()));
+        case envelope::kCatalogPull:
+            return outlets.catalogAsked(sender, message.catalog_pull().after_version());
+        case envelope::kCatalogText:
+            return outlets.catalogHeard(message.catalog_text().version(), std::string(message.catalog_text().text()));
         case envelope::BODY_NOT_SET:
             return;
         }
--- a/Source/Core/Membership/PeerDuty.h
+++ b/Source/Core/Membership/PeerDuty.h
@@ -8,6 +8,7 @@
 #include "Dispatch/Messages.h"
 #include "Endpoints/EndpointTable.h"
 #include "Membership/Members.h"
+#include "Quota/Quota.h"
 #include "Rollout/Rollout.h"
 
 #include <atomic>
@@ -34,6 +35,24 @@
 /// Tell the linked peers that an endpoint leaves.
 struct push_leaving {
     Common::endpoint_id endpoint;
+    int64_t startedMs { 0 }; ///< Unix time of the endpoint's start; zero when starts are not told apart.
+};
+
+/// Tell all peers what this node has granted to client accounts.
+struct push_grants {
+    Quota::node_report report;
+};
+
+/// Ask a peer for the operators' catalog.
+struct pull_catalog {
+    uint64_t after { 0 };
+};
+
+/// Give a peer the operators' catalog in the platform's form.
+struct give_catalog {
+    Common::node_id peer;
+    uint64_t version { 0 };
+    std::string text;
 };
 
 /// Tell the linked peers of instances that are new on the cloud's list.
@@ -80,7 +99,7 @@
 };
 
 using peer_message = std::variant<seeds_known, configuration_moved, leave_begun, push_changes, pull_changes, give_changes,
-    push_leaving, push_instances, give_loads, push_evidence, push_latch, place_transfer, confirm_transfer, find_holder, confirm_holder>;
+    push_leaving, push_instances, give_loads, push_evidence, push_latch, place_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, give_catalog>;
 
 /// Where the duty's actions go. None of them blocks.
 struct peer_outlets {
@@ -90,6 +109,10 @@
     std::function<void(Rollout::rollout_message&&)> tellRollout;
     std::function<void(Dispatch::dispatch_message&&)> tellDispatch;
     std::function<void(const Common::request_id&, const std::string& httpAddress)> located;
+    std::function<void(Quota::node_report&&)> grantsHeard;
+    std::function<void(const Common::endpoint_id&, int64_t startedMs)> startLeavingHeard;
+    std::function<void(const Common::node_id& peer, uint64_t after)> catalogAsked;
+    std::function<void(uint64_t version, std::string&& text)> catalogHeard;
 };
 
 struct peer_settings {
--- a/Source/Core/Membership/PeerSockets.cpp
+++ b/Source/Core/Membership/PeerSockets.cpp
@@ -8,6 +8,9 @@
 
     constexpr int messagesPerPeer = 256;
     constexpr std::chrono::seconds idleSocketPeriod { 30 };
+    /// A connection that fell silent without a reset is replaced after the longer of these.
+    constexpr int heartbeatMilliseconds = 1000;
+    constexpr int heartbeatTimeoutMilliseconds = 2500;
 
 } // namespace
 
@@ -19,6 +22,8 @@
     zmq::socket_t socket(m_context, zmq::socket_type::push);
     socket.set(zmq::sockopt::linger, 0);
     socket.set(zmq::sockopt::sndhwm, messagesPerPeer);
+    socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMilliseconds);
+    socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMilliseconds);
     socket.connect("tcp://" + address);
     return m_sockets.emplace(address, open_socket { std::move(socket), {} }).first->second;
 }
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -6,6 +6,7 @@
 #include "Directory/DirectoryDuty.h"
 #include "Filbertreeld/Settings.h"
 #include "Gateway/GatewayDuty.h"
+#include "Membership/PeerDuty.h"
 #include "platform/CallHeaders.h"
 #include "platform/DirectoryCalls.h"
 #include "platform/RolloutCodec.h"
@@ -14,6 +15,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
+#include <map>
+#include <mutex>
 #include <thread>
 
 namespace Filbertreeld {
@@ -25,6 +28,8 @@
     constexpr milliseconds leavePollInterval { 50 };
     /// How long callers may keep an address: short, so that a node that leaves loses them soon.
     constexpr milliseconds addressLife { 2000 };
+    /// A node that its peers have found dead for so long has not just been restarted.
+    constexpr milliseconds deadBeforeRemoval { 8000 };
     /// Part of the grace after which a leaving node ends, whatever is still in progress.
     constexpr double mostOfGrace = 0.93;
     /// Part of the grace during which callers may still hold this node's address.
@@ -43,6 +48,21 @@
         return entry;
     }
 
+    Membership::peer_settings makePeerSettings(const Fleet::node_facts& facts, Common::incarnation_number incarnation)
+    {
+        const Fleet::node_entry entry = makeEntry(facts, incarnation);
+        Membership::peer_settings made;
+        made.self.id = entry.node;
+        made.self.peerAddress = entry.peerAddress;
+        made.self.httpAddress = entry.callersAddress;
+        made.self.zone = entry.zone;
+        made.self.region = entry.region;
+        made.self.incarnation = incarnation;
+        made.listenAddress = entry.peerAddress;
+        made.seed = Common::systemSeed();
+        return made;
+    }
+
     Directory::directory_settings makeDirectorySettings(const Fleet::node_facts& facts)
     {
         Directory::directory_settings made;
@@ -62,7 +82,12 @@
     Directory::directory_duty directory;
     Gateway::gateway_duty gateway;
     Control::control_duty control;
+    Membership::peer_duty peers;
     std::vector<std::thread> threads;
+    std::mutex nodesMutex;
+    Fleet::node_map nodes; ///< As the store lists them.
+    Membership::member_map members; ///< As the peers see them.
+    std::map<Common::node_id, Common::instant> deadSince;
     std::atomic<bool> isLeaving { false };
     std::atomic<bool> hasFailed { false };
 
@@ -71,13 +96,17 @@
         , directory(makeDirectorySettings(given))
         , gateway({ given, incarnation, PlatformAdapter::makeWireFormat(), Common::systemSeed() }, makeGatewayOutlets())
         , control({ given, makeEntry(given, incarnation), PlatformAdapter::makePlatformCalls(), Common::systemSeed() }, makeControlOutlets())
+        , peers(makePeerSettings(given, incarnation), makePeerOutlets())
     {
     }
 
     Gateway::gateway_outlets makeGatewayOutlets()
     {
         Gateway::gateway_outlets outlets;
-        outlets.report = [this](Gateway::interval_report&& report) { static_cast<void>(control.submit(Control::interval_seen { std::move(report) })); };
+        outlets.report = [this](Gateway::interval_report&& report) {
+            static_cast<void>(peers.submit(Membership::push_grants { report.grants }));
+            static_cast<void>(control.submit(Control::interval_seen { std::move(report) }));
+        };
         outlets.attemptSeen = [this](Gateway::attempt_seen&& seen) { static_cast<void>(control.submit(std::move(seen))); };
         return outlets;
     }
@@ -91,22 +120,96 @@
             static_cast<void>(gateway.submit(std::move(message)));
         };
         outlets.publishNodes = [this](const Fleet::node_map& nodes) { publishNodes(nodes); };
-        outlets.tellPeersLeaving = [](const Fleet::endpoint&) {};
-        outlets.tellPeersCatalog = [](uint64_t) {};
-        outlets.tellPeersEvidence = [](const Rollout::tell_evidence&) {};
-        outlets.tellPeersLatch = [](const Rollout::tell_latch&) {};
+        outlets.tellPeersLeaving = [this](const Fleet::endpoint& item) { static_cast<void>(peers.submit(Membership::push_leaving { item.id, item.started.value })); };
+        outlets.tellPeersCatalog = [this](uint64_t version) { static_cast<void>(peers.submit(Membership::configuration_moved { { version } })); };
+        outlets.askPeersCatalog = [this](uint64_t after) { static_cast<void>(peers.submit(Membership::pull_catalog { after })); };
+        outlets.givePeerCatalog = [this](const Common::node_id& peer, uint64_t version, std::string text) {
+            static_cast<void>(peers.submit(Membership::give_catalog { peer, version, std::move(text) }));
+        };
+        outlets.tellPeersEvidence = [this](const Rollout::tell_evidence& evidence) { static_cast<void>(peers.submit(Membership::push_evidence { evidence })); };
+        outlets.tellPeersLatch = [this](const Rollout::tell_latch& latch) { static_cast<void>(peers.submit(Membership::push_latch { latch })); };
+        return outlets;
+    }
+
+    Membership::peer_outlets makePeerOutlets()
+    {
+        Membership::peer_outlets outlets;
+        outlets.publishMembers = [this](const Membership::member_map& known) { publishMembers(known); };
+        outlets.tellConfiguration = [this](Configuration::chain_message&& message) {
+            const auto* ahead = std::get_if<Configuration::peer_is_ahead>(&message);
+            if (ahead)
+                static_cast<void>(control.submit(Control::newer_catalog_heard { ahead->version.value }));
+        };
+        outlets.tellRollout = [this](Rollout::rollout_message&& message) {
+            if (auto* evidence = std::get_if<Rollout::peer_evidence>(&message))
+                static_cast<void>(control.submit(std::move(*evidence)));
+            if (auto* latch = std::get_if<Rollout::peer_latch>(&message))
+                static_cast<void>(control.submit(std::move(*latch)));
+        };
+        // Load of endpoints and requests in flight are not passed between nodes here.
+        outlets.tellEndpoints = [](Endpoints::table_message&&) {};
+        outlets.tellDispatch = [](Dispatch::dispatch_message&&) {};
+        outlets.located = [](const Common::request_id&, const std::string&) {};
+        outlets.grantsHeard = [this](Quota::node_report&& report) { static_cast<void>(gateway.submit(Gateway::grants_heard { std::move(report) })); };
+        outlets.startLeavingHeard = [this](const Common::endpoint_id& id, int64_t startedMs) { static_cast<void>(control.submit(Control::leaving_heard { id, { startedMs } })); };
+        outlets.catalogAsked = [this](const Common::node_id& peer, uint64_t after) { static_cast<void>(control.submit(Control::catalog_asked { peer, after })); };
+        outlets.catalogHeard = [this](uint64_t version, std::string&& text) { static_cast<void>(control.submit(Control::catalog_text_heard { version, std::move(text) })); };
         return outlets;
     }
 
-    void publishNodes(const Fleet::node_map& nodes)
+    /// Called by the control duty.
+    void publishNodes(const Fleet::node_map& listed)
     {
-        directory.setNodes(nodes);
+        Membership::seeds_known seeds;
         Gateway::peers_known known;
-        for (const auto& [id, item] : nodes) {
-            if (id != facts.node)
-                known.peers.insert(id);
+        for (const auto& [id, item] : listed) {
+            if (id == facts.node)
+                continue;
+            known.peers.insert(id);
+            seeds.peerAddresses.push_back(item.peerAddress);
         }
         static_cast<void>(gateway.submit(std::move(known)));
+        static_cast<void>(peers.submit(std::move(seeds)));
+        const std::lock_guard guard(nodesMutex);
+        nodes = listed;
+        publishDirectory();
+    }
+
+    /// Called by the peer duty.
+    void publishMembers(const Membership::member_map& known)
+    {
+        const std::lock_guard guard(nodesMutex);
+        members = known;
+        publishDirectory();
+    }
+
+    /// What the store lists, less what the peers do not reach. The caller holds the mutex.
+    void publishDirectory()
+    {
+        Fleet::node_map reachable = nodes;
+        for (auto& [id, item] : reachable) {
+            const auto member = members.find(id);
+            item.isReachable = member == members.end() || member->second.status == Membership::member_status::Alive;
+            item.isLeaving = item.isLeaving || (id == facts.node && isLeaving);
+        }
+        directory.setNodes(reachable);
+    }
+
+    /// The caller holds the mutex.
+    void tellDeadNodes()
+    {
+        const Common::instant now = std::chrono::steady_clock::now();
+        Control::dead_nodes_known dead;
+        for (const auto& [id, item] : members) {
+            if (item.status != Membership::member_status::Dead) {
+                deadSince.erase(id);
+                continue;
+            }
+            const Common::instant since = deadSince.try_emplace(id, now).first->second;
+            if (now - since >= deadBeforeRemoval)
+                dead.nodes.insert(id);
+        }
+        static_cast<void>(control.submit(std::move(dead)));
     }
 
     template <typename duty_type>
@@ -136,6 +239,7 @@
     self.startThread("directory", self.directory);
     self.startThread("gateway", self.gateway);
     self.startThread("control", self.control);
+    self.startThread("peers", self.peers);
     Common::logEvent(Common::log_level::Info, "node_started", { { "incarnation", self.incarnation.value }, { "zone", self.facts.zone.value }, { "callers", self.facts.listen.callers } });
 }
 
@@ -144,6 +248,12 @@
     static_cast<void>(m_implementation->control.submit(Control::settings_changed { facts }));
 }
 
+void platform_node::checkPeers()
+{
+    const std::lock_guard guard(m_implementation->nodesMutex);
+    m_implementation->tellDeadNodes();
+}
+
 void platform_node::leave()
 {
     implementation& self = *m_implementation;
@@ -154,11 +264,14 @@
     self.directory.setReady(false);
     static_cast<void>(self.control.submit(Control::leave_begun {}));
     static_cast<void>(self.gateway.submit(Gateway::leave_begun {}));
+    static_cast<void>(self.peers.submit(Membership::leave_begun {}));
     const auto elapsedShare = [&] { return (std::chrono::steady_clock::now() - begun) / std::chrono::duration<double>(grace); };
     while (elapsedShare() < callersComeShareOfGrace)
         std::this_thread::sleep_for(leavePollInterval);
     while (elapsedShare() < mostOfGrace && self.gateway.inFlight() > 0)
         std::this_thread::sleep_for(leavePollInterval);
+    static_cast<void>(self.control.submit(Control::leave_ended {}));
+    std::this_thread::sleep_for(2 * leavePollInterval);
     Common::logEvent(Common::log_level::Info, "node_left", { { "unfinished", self.gateway.inFlight() } });
 }
 
@@ -166,6 +279,7 @@
 {
     implementation& self = *m_implementation;
     self.control.stop();
+    self.peers.stop();
     self.gateway.stop();
     self.directory.stop();
     for (std::thread& thread : self.threads)
@@ -249,6 +363,7 @@
         const timespec interval { settingsLookSeconds, 0 };
         signal = sigtimedwait(&signals, nullptr, &interval);
         reloadWhenChanged(source, node);
+        node.checkPeers();
     }
     if (!node.hasFailed())
         node.leave();
--- a/Source/Filbertreeld/PlatformNode.h
+++ b/Source/Filbertreeld/PlatformNode.h
@@ -20,6 +20,8 @@
     void start();
     /// Takes settings that were read again.
     void reload(const Fleet::node_facts& facts);
+    /// Tells which peers have long been dead; to be called about once a second.
+    void checkPeers();
     /// Leaves in order: out of the directory, then no new work, then out.
     /// @return when nothing is in progress any more, or when the grace ends.
     void leave();
