Engines ordered by learned demand; leaving nodes take only what they can finish

Change: gateways report engine time asked for; the lease's holder plans 1.5 reclaimable engines for each one needed, and plain ones for what the loss of the zone with most of them would leave short. Reading speed by regression. Nodes that the peers never heard of leave the directory after 3 s.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -29,6 +29,7 @@
     constexpr milliseconds lastCountDelay { 400 };
     constexpr milliseconds registerPause { 300 };
     constexpr uint64_t nonceBits = 48;
+    constexpr milliseconds planInterval { 300 };
 
     milliseconds stretched(milliseconds interval, size_t nodes)
     {
@@ -68,7 +69,10 @@
     std::vector<Usage::begun_request> unplaced; ///< Begun before true time was known.
     bool isWritingCounts { false };
     Common::instant nextCountWrite;
-    Scaling::plan_state plan;
+    Scaling::demand_book demand;
+    Scaling::plan_memory planMemory;
+    Scaling::order_book orders;
+    Common::instant nextPlan;
     bool wasHolder { false };
 
     // --- Calls to the store
@@ -157,6 +161,8 @@
         Common::logEvent(Common::log_level::Info, "endpoint_changed", { { "endpoint", change.item.id.value }, { "change", Fleet::nameOf(change.kind) }, { "service", change.item.service.value }, { "zone", change.item.zone.value }, { "reclaimable", change.item.isReclaimable }, { "version", change.item.version.value }, { "source", source }, { "row_version", endpointWatch.newest.value } });
         if (change.kind == Fleet::change_kind::BeganLeaving)
             outlets.tellPeersLeaving(change.item);
+        if (change.kind != Fleet::change_kind::Appeared)
+            Scaling::noteLoss(orders, { change.item.service, change.item.zone, change.item.isReclaimable }, Common::bootClockNow());
     }
 
     void nodeRowsChanged()
@@ -321,14 +327,42 @@
 
     // --- Orders of endpoints
 
+    void planAll(Common::instant now)
+    {
+        Scaling::wanted_map wanted;
+        for (const auto& [name, service] : catalog->services) {
+            if (!service.scaling)
+                continue;
+            const auto supply = Scaling::countSupply(endpoints.endpoints, name);
+            wanted.merge(Scaling::planEndpoints(service, Scaling::demandByZone(demand, name, now), supply));
+        }
+        const Scaling::wanted_map before = planMemory.wanted;
+        if (Scaling::steady(planMemory, wanted, now) != before)
+            logPlan(now);
+    }
+
+    void logPlan(Common::instant now) const
+    {
+        nlohmann::json numbers = nlohmann::json::object();
+        for (const auto& [item, count] : planMemory.wanted)
+            numbers[item.zone.value + (item.isReclaimable ? "/reclaimable" : "/plain")] = count;
+        nlohmann::json busy = nlohmann::json::object();
+        for (const auto& [name, nodes_] : demand.services) {
+            for (const auto& [zone, level] : Scaling::demandByZone(demand, name, now))
+                busy[name.value + "/" + zone.value] = level.value;
+        }
+        Common::logEvent(Common::log_level::Info, "endpoints_planned", { { "wanted", std::move(numbers) }, { "busy_engines", std::move(busy) } });
+    }
+
     void orderEndpoints(Common::instant now)
     {
         if (!catalog || !settings.facts.cloud.wantsScaling)
             return;
-        std::map<Scaling::subject, uint32_t> wanted;
-        for (const auto& [name, service] : catalog->services)
-            wanted.merge(Scaling::planEndpoints(service));
-        const auto order = Scaling::nextOrder(plan, wanted, now);
+        if (now >= nextPlan) {
+            nextPlan = now + planInterval;
+            planAll(now);
+        }
+        const auto order = Scaling::nextOrder(orders, planMemory.wanted, now);
         if (!order)
             return;
         client.start(settings.calls.order(settings.facts.cloud.address, giver(), *order), [this, order](const Http::transfer_answer& answer) {
@@ -337,7 +371,7 @@
             // An order of unknown fate may be carried out later: the next one needs a higher token to prevail.
             if (outcome == Scaling::order_outcome::Fenced || outcome == Scaling::order_outcome::Unknown)
                 Lease::raiseFence(lease, Common::bootClockNow());
-            Scaling::takeOutcome(plan, outcome, Common::bootClockNow());
+            Scaling::takeOutcome(orders, outcome, Common::bootClockNow());
         });
     }
 
@@ -362,6 +396,11 @@
         if (lease.isHeld == wasHolder)
             return;
         wasHolder = lease.isHeld;
+        // While another node held it, orders and reports may have gone out.
+        if (lease.isHeld) {
+            Scaling::forgetOrders(orders);
+            resetReporter(reporter);
+        }
         Common::logEvent(Common::log_level::Info, lease.isHeld ? "lease_taken" : "lease_lost", { { "fence", lease.fence.value } });
     }
 
@@ -381,6 +420,12 @@
     {
         for (Usage::begun_request& item : message.report.begun)
             unplaced.push_back(std::move(item));
+        Scaling::noteDemand(demand, message.report.demand, Common::bootClockNow());
+    }
+
+    void take(demand_heard&& message)
+    {
+        Scaling::noteDemand(demand, message.demand, Common::bootClockNow());
     }
 
     void take(leaving_heard&& message)
--- a/Source/Core/Control/ControlDuty.h
+++ b/Source/Core/Control/ControlDuty.h
@@ -21,6 +21,11 @@
     Gateway::interval_report report;
 };
 
+/// What another node was asked for.
+struct demand_heard {
+    Scaling::node_demand demand;
+};
+
 /// A peer, or an endpoint itself, says that an endpoint leaves.
 struct leaving_heard {
     Common::endpoint_id endpoint;
@@ -60,7 +65,7 @@
     Fleet::node_facts facts;
 };
 
-using control_message = std::variant<interval_seen, leaving_heard, newer_catalog_heard, catalog_text_heard, catalog_asked, dead_nodes_known, leave_begun, leave_ended, settings_changed, Gateway::attempt_seen, Rollout::peer_evidence, Rollout::peer_latch>;
+using control_message = std::variant<interval_seen, demand_heard, leaving_heard, newer_catalog_heard, catalog_text_heard, catalog_asked, dead_nodes_known, leave_begun, leave_ended, settings_changed, Gateway::attempt_seen, Rollout::peer_evidence, Rollout::peer_latch>;
 
 /// Where the duty's findings go. None of the functions may block.
 struct control_outlets {
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -37,10 +37,16 @@
     /// Callers that were refused for want of an endpoint may come back after this.
     constexpr milliseconds retryWhenNotReady { 500 };
     constexpr milliseconds retryWhenLeaving { 100 };
-    /// A leaving node takes requests this long: callers keep a directory answer for three times its life at most.
+    /// A leaving node takes short requests this long: callers keep a directory answer for three times its life at most.
     constexpr double takesWorkShareOfGrace = 0.75;
-    /// Then it waits for answers in progress until this share of the grace.
-    constexpr double finishShareOfGrace = 0.93;
+    /// Answers in progress have to be complete by this share of the grace.
+    constexpr double finishShareOfGrace = 0.85;
+    /// A request is taken only when it is expected to take less than this part of the time left.
+    constexpr double expectedShareOfTimeLeft = 0.4;
+    /// Assumed of requests of which nothing is known, and of each output token of a stream.
+    constexpr milliseconds assumedPlainTime { 150 };
+    constexpr milliseconds assumedFirstEventTime { 600 };
+    constexpr double assumedMsPerOutputToken = 20;
     constexpr int successClass = 2;
     constexpr int serverFailureClass = 5;
     constexpr int statusesPerClass = 100;
@@ -184,7 +190,7 @@
             return refuse(item, 404, "unknown_route", {});
         if (!authorize(item))
             return refuse(item, 401, "unknown_key", {});
-        if (isPastTakingWork())
+        if (leavingSince && !canFinishBeforeLeaving(item))
             return refuse(item, 503, "leaving", retryWhenLeaving);
         setTimes(item);
         item.service = Catalog::chooseService(*item.route, Common::uniformUnit(scheduler.random));
@@ -675,22 +681,21 @@
         });
     }
 
-    bool isPastTakingWork() const
+    bool canFinishBeforeLeaving(const call& item) const
     {
-        return leavingSince && clockNow() - *leavingSince > settings.facts.bounds.grace * takesWorkShareOfGrace;
+        const auto left = toMs(*leavingSince + std::chrono::duration_cast<milliseconds>(settings.facts.bounds.grace * finishShareOfGrace) - item.arrived);
+        double expected = toMs(assumedPlainTime);
+        if (item.facts.model)
+            expected = toMs(assumedFirstEventTime) + item.facts.model->expectedOutputTokens.value_or(item.facts.model->mostOutputTokens) * assumedMsPerOutputToken;
+        return expected < left * expectedShareOfTimeLeft;
     }
 
     // --- Reports to other duties
 
     void noteDemand(const call& item)
     {
-        demand_sample& sample = interval.demand[item.service];
-        sample.requests += 1;
-        if (!item.facts.model)
-            return;
-        sample.promptTokens += item.facts.model->promptTokens;
-        sample.freshTokens += item.current->where.freshTokens;
-        sample.outputTokens += item.facts.model->expectedOutputTokens.value_or(item.facts.model->mostOutputTokens);
+        if (item.facts.model)
+            interval.demand.engineMs[item.service] += Scheduling::engineMs(scheduler, item.service, item.current->where.freshTokens, *item.facts.model);
     }
 
     void reportLater()
@@ -702,6 +707,9 @@
             interval.grants = Quota::makeReport(quota, clockNow());
             interval.grants.node = settings.facts.node;
             interval.grants.incarnation = settings.incarnation;
+            interval.demand.node = settings.facts.node;
+            interval.demand.zone = settings.facts.zone;
+            interval.demand.interval = reportInterval;
             interval.inFlight = calls.size();
             outlets.report(std::move(interval));
             interval = {};
--- a/Source/Core/Gateway/GatewayDuty.h
+++ b/Source/Core/Gateway/GatewayDuty.h
@@ -9,6 +9,7 @@
 #include "Fleet/NodeFacts.h"
 #include "Gateway/WireFormat.h"
 #include "Quota/Quota.h"
+#include "Scaling/Demand.h"
 #include "Usage/Usage.h"
 
 #include <functional>
@@ -68,18 +69,10 @@
     event what { event::Begun };
 };
 
-/// Work that callers asked of a service in one interval.
-struct demand_sample {
-    double promptTokens { 0 };
-    double freshTokens { 0 }; ///< Prompt tokens that no cache was expected to hold.
-    double outputTokens { 0 };
-    double requests { 0 };
-};
-
 /// What the gateway has seen since its last report.
 struct interval_report {
     std::vector<Usage::begun_request> begun;
-    std::map<Common::service_name, demand_sample> demand;
+    Scaling::node_demand demand;
     Quota::node_report grants;
     size_t inFlight { 0 };
 };
--- a/Source/Core/Membership/PeerCodec.cpp
+++ b/Source/Core/Membership/PeerCodec.cpp
@@ -190,4 +190,26 @@
     return report;
 }
 
+void encodeDemand(const Scaling::node_demand& item, filbertreel::peer::grant_report& record)
+{
+    record.set_zone(item.zone.value);
+    record.set_interval_ms(static_cast<uint32_t>(item.interval.count()));
+    for (const auto& [service, engineMs] : item.engineMs) {
+        auto* written = record.add_demand();
+        written->set_service(service.value);
+        written->set_engine_ms(engineMs);
+    }
+}
+
+Scaling::node_demand decodeDemand(const Common::node_id& node, const filbertreel::peer::grant_report& record)
+{
+    Scaling::node_demand demand;
+    demand.node = node;
+    demand.zone = { record.zone() };
+    demand.interval = Scaling::milliseconds(record.interval_ms());
+    for (const auto& item : record.demand())
+        demand.engineMs[{ item.service() }] = item.engine_ms();
+    return demand;
+}
+
 } // namespace Membership
--- a/Source/Core/Membership/PeerCodec.h
+++ b/Source/Core/Membership/PeerCodec.h
@@ -8,6 +8,7 @@
 #include "Endpoints/EndpointTable.h"
 #include "Membership/Members.h"
 #include "Quota/Quota.h"
+#include "Scaling/Demand.h"
 
 namespace filbertreel::peer {
 class configuration_changes;
@@ -79,4 +80,12 @@
 /// @return the report.
 Quota::node_report decodeGrants(const Common::node_id& node, Common::incarnation_number incarnation, const filbertreel::peer::grant_report& record);
 
+/// @param item what this node was asked for.
+/// @param record filled with it.
+void encodeDemand(const Scaling::node_demand& item, filbertreel::peer::grant_report& record);
+/// @param node who was asked.
+/// @param record what it sent.
+/// @return its demand.
+Scaling::node_demand decodeDemand(const Common::node_id& node, const filbertreel::peer::grant_report& record);
+
 } // namespace Membership
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -204,6 +204,7 @@
     {
         envelope outgoing;
         encodeGrants(message.report, *outgoing.mutable_grant_report());
+        encodeDemand(message.demand, *outgoing.mutable_grant_report());
         sendToAllAlive(outgoing);
     }
 
@@ -325,7 +326,8 @@
         case envelope::kRequestLocation:
             return outlets.located({ message.request_location().request() }, message.request_location().http_address());
         case envelope::kGrantReport:
-            return outlets.grantsHeard(decodeGrants(sender, { message.incarnation() }, message.grant_report()));
+            outlets.grantsHeard(decodeGrants(sender, { message.incarnation() }, message.grant_report()));
+            return outlets.demandHeard(decodeDemand(sender, message.grant_report()));
         case envelope::kCatalogPull:
             return outlets.catalogAsked(sender, message.catalog_pull().after_version());
         case envelope::kCatalogText:
--- a/Source/Core/Membership/PeerDuty.h
+++ b/Source/Core/Membership/PeerDuty.h
@@ -10,6 +10,7 @@
 #include "Membership/Members.h"
 #include "Quota/Quota.h"
 #include "Rollout/Rollout.h"
+#include "Scaling/Demand.h"
 
 #include <atomic>
 #include <functional>
@@ -38,9 +39,10 @@
     int64_t startedMs { 0 }; ///< Unix time of the endpoint's start; zero when starts are not told apart.
 };
 
-/// Tell all peers what this node has granted to client accounts.
+/// Tell all peers what this node has granted to client accounts, and what it was asked for.
 struct push_grants {
     Quota::node_report report;
+    Scaling::node_demand demand;
 };
 
 /// Ask a peer for the operators' catalog.
@@ -110,6 +112,7 @@
     std::function<void(Dispatch::dispatch_message&&)> tellDispatch;
     std::function<void(const Common::request_id&, const std::string& httpAddress)> located;
     std::function<void(Quota::node_report&&)> grantsHeard;
+    std::function<void(Scaling::node_demand&&)> demandHeard;
     std::function<void(const Common::endpoint_id&, int64_t startedMs)> startLeavingHeard;
     std::function<void(const Common::node_id& peer, uint64_t after)> catalogAsked;
     std::function<void(uint64_t version, std::string&& text)> catalogHeard;
--- a/Source/Core/Scaling/Plan.h
+++ b/Source/Core/Scaling/Plan.h
@@ -1,21 +1,21 @@
 #pragma once
 
 /// @file
-/// How many endpoints of a service are ordered, where and of which kind. Pure: no clock, no socket.
+/// How many endpoints of a service are ordered, where and of which kind. Reclaimable endpoints are cheap, but all of a
+/// zone may go at once, at times with none to be had elsewhere: what is left then must still carry the demand, with
+/// endpoints that are not reclaimable making up for what is missing. Pure: no clock, no socket.
 
 #include "Catalog/Catalog.h"
 #include "Fleet/EndpointBook.h"
+#include "Scaling/Demand.h"
 #include "Scaling/Order.h"
 
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace Scaling {
 
-using std::chrono::milliseconds;
-
 /// One number of endpoints that is ordered by itself.
 struct subject {
     Common::service_name service;
@@ -25,32 +25,60 @@
     friend auto operator<=>(const subject&, const subject&) = default;
 };
 
+/// Endpoints of one zone that take work now.
+struct zone_supply {
+    uint32_t plain { 0 };
+    uint32_t reclaimable { 0 };
+};
+
+using supply_map = std::map<Common::zone_name, zone_supply>;
+using wanted_map = std::map<subject, uint32_t>;
+
+/// Counts the endpoints of a service that take work.
+supply_map countSupply(const Fleet::endpoint_map& endpoints, const Common::service_name& service);
+
+/// Remembers what makes the plan steady.
+struct plan_memory {
+    std::map<subject, uint32_t> wanted; ///< As planned last.
+    std::map<subject, Common::instant> lowerSince; ///< Since when less would do.
+};
+
+/// @param item a service that is scaled.
+/// @param demand by zone; empty while nothing is known.
+/// @param supply what takes work now.
+/// @return the wanted number of each kind in each zone.
+wanted_map planEndpoints(const Catalog::service& item, const std::map<Common::zone_name, busy_engines>& demand, const supply_map& supply);
+
+/// Lets numbers rise at once and fall only after a while.
+/// @param memory changed in place.
+/// @return the numbers to order.
+wanted_map steady(plan_memory& memory, const wanted_map& planned, Common::instant now);
+
 /// What was last ordered for a subject.
 struct placed_order {
     uint32_t desired { 0 };
-    bool isKnown { false }; ///< The cloud has confirmed it.
+    bool isDone { false }; ///< The cloud has confirmed it.
     Common::instant nextTry;
 };
 
-struct plan_state {
+struct order_book {
     std::map<subject, placed_order> orders;
     std::optional<order> current; ///< Under way.
 };
 
-/// @param item a service that is scaled.
-/// @return the wanted number of each kind in each zone.
-std::map<subject, uint32_t> planEndpoints(const Catalog::service& item);
-
 /// @param state what was ordered; an order that is returned counts as under way.
 /// @param wanted the wanted numbers.
 /// @param now the present time.
 /// @return the next order to give.
-std::optional<order> nextOrder(plan_state& state, const std::map<subject, uint32_t>& wanted, Common::instant now);
+std::optional<order> nextOrder(order_book& state, const wanted_map& wanted, Common::instant now);
 
 /// Takes the end of the order under way.
-void takeOutcome(plan_state& state, order_outcome outcome, Common::instant now);
+void takeOutcome(order_book& state, order_outcome outcome, Common::instant now);
+
+/// An endpoint of a subject went although it was ordered: the order is given again.
+void noteLoss(order_book& state, const subject& item, Common::instant now);
 
 /// Another node may have given orders: nothing is known of them.
-void forgetOrders(plan_state& state);
+void forgetOrders(order_book& state);
 
 } // namespace Scaling
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -11,8 +11,22 @@
 
     /// Reading speed assumed of engines that have not answered yet.
     constexpr double initialMsPerToken = 0.03;
-    /// Time to a first event beside reading the prompt: network, batching and the step that makes it.
-    constexpr double baseMs = 30;
+    /// Time to a first event beside reading the prompt, until it is learned: network, batching, the step that makes it.
+    constexpr double initialBaseMs = 40;
+    constexpr double leastMsPerToken = 0.001;
+    constexpr double mostMsPerToken = 0.5;
+    constexpr double leastBaseMs = 5;
+    constexpr double mostBaseMs = 300;
+    /// Samples fade by this factor, so that about the last few hundred count.
+    constexpr double sampleFading = 0.995;
+    constexpr double fewestSamples = 20;
+    /// Only prompts of this length tell the reading speed apart from the rest.
+    constexpr double tellingTokens = 1500;
+    /// The speed of an unloaded engine is a low quantile of the samples: it follows lower ones fast, higher ones slowly.
+    constexpr double lowerRate = 0.1;
+    constexpr double higherRate = 0.01;
+    /// Time of an engine that one output token takes in a batch.
+    constexpr double msPerOutputToken = 0.25;
     /// Time of a plain request that waits for nothing.
     constexpr double plainWorkMs = 25;
     /// Time that each waiting or running model request adds through longer steps.
@@ -43,10 +57,41 @@
         return std::chrono::duration<double, std::milli>(time).count();
     }
 
-    double msPerToken(const scheduler_state& state, const Common::service_name& service)
+    struct line {
+        double baseMs { initialBaseMs };
+        double msPerToken { initialMsPerToken };
+    };
+
+    /// The learned straight line through the samples of a service.
+    line readingLine(const scheduler_state& state, const Common::service_name& service)
     {
-        const auto known = state.msPerToken.find(service);
-        return known == state.msPerToken.end() ? initialMsPerToken : known->second;
+        const auto known = state.reading.find(service);
+        if (known == state.reading.end() || known->second.weight < fewestSamples)
+            return {};
+        const reading_model& model = known->second;
+        const double meanTokens = model.sumTokens / model.weight;
+        const double meanMs = model.sumMs / model.weight;
+        const double variance = model.sumTokensSquared / model.weight - meanTokens * meanTokens;
+        const double covariance = model.sumTokensMs / model.weight - meanTokens * meanMs;
+        line found;
+        found.msPerToken = std::clamp(variance > 1 ? covariance / variance : initialMsPerToken, leastMsPerToken, mostMsPerToken);
+        found.baseMs = std::clamp(meanMs - found.msPerToken * meanTokens, leastBaseMs, mostBaseMs);
+        return found;
+    }
+
+    void learnReading(reading_model& model, double tokens, double ms)
+    {
+        model.weight = model.weight * sampleFading + 1;
+        model.sumTokens = model.sumTokens * sampleFading + tokens;
+        model.sumMs = model.sumMs * sampleFading + ms;
+        model.sumTokensSquared = model.sumTokensSquared * sampleFading + tokens * tokens;
+        model.sumTokensMs = model.sumTokensMs * sampleFading + tokens * ms;
+        if (tokens < tellingTokens)
+            return;
+        const double sample = std::clamp((ms - initialBaseMs) / tokens, leastMsPerToken, mostMsPerToken);
+        if (model.unloadedMsPerToken <= 0)
+            model.unloadedMsPerToken = sample;
+        model.unloadedMsPerToken += (sample - model.unloadedMsPerToken) * (sample < model.unloadedMsPerToken ? lowerRate : higherRate);
     }
 
     double distanceMs(const scheduler_state& state, const endpoint_state& endpoint)
@@ -75,9 +120,10 @@
 
     double predictModelMs(const scheduler_state& state, const endpoint_state& endpoint, double fresh, Common::instant now)
     {
-        const double reading = (endpoint.waitingTokens + fresh) * msPerToken(state, endpoint.facts.service);
+        const line learned = readingLine(state, endpoint.facts.service);
+        const double reading = (endpoint.waitingTokens + fresh) * learned.msPerToken;
         const double batch = (static_cast<double>(endpoint.placed.size()) + othersWaiting(endpoint, now)) * msPerRunning;
-        return (baseMs + reading + batch) * endpoint.slowness;
+        return (learned.baseMs + reading + batch) * endpoint.slowness;
     }
 
     double predictPlainMs(const endpoint_state& endpoint, Common::instant now)
@@ -132,6 +178,7 @@
         placed.freshTokens = chosen.fresh;
         placed.sent = now;
         placed.predictedMs = chosen.predicted;
+        placed.tokensAhead = chosen.endpoint->waitingTokens + chosen.fresh;
         if (item.model) {
             placed.outputTokens = item.model->expectedOutputTokens.value_or(item.model->mostOutputTokens);
             rememberParts(chosen.endpoint->cache, item.model->parts);
@@ -152,7 +199,8 @@
         const double actual = toMs(now - item.sent);
         const double ratio = std::clamp(actual / std::max(1.0, item.predictedMs), leastSlowness, mostSlowness);
         endpoint.slowness = std::clamp(endpoint.slowness * (1 - learningRate) + endpoint.slowness * ratio * learningRate, leastSlowness, mostSlowness);
-        static_cast<void>(state);
+        if (item.freshTokens > 0)
+            learnReading(state.reading[endpoint.facts.service], item.tokensAhead, actual);
     }
 
     void stopWaiting(endpoint_state& endpoint, placed_work& item)
@@ -255,6 +303,14 @@
     known->statedAt = now;
 }
 
+double engineMs(const scheduler_state& state, const Common::service_name& service, double fresh, const model_facts& model)
+{
+    const auto known = state.reading.find(service);
+    const bool isLearned = known != state.reading.end() && known->second.unloadedMsPerToken > 0;
+    const double perToken = isLearned ? known->second.unloadedMsPerToken : initialMsPerToken;
+    return fresh * perToken + model.expectedOutputTokens.value_or(model.mostOutputTokens) * msPerOutputToken;
+}
+
 bool hasEndpoint(const scheduler_state& state, const Common::service_name& service)
 {
     return std::any_of(state.endpoints.begin(), state.endpoints.end(), [&service](const auto& entry) {
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -26,6 +26,7 @@
     double outputTokens { 0 }; ///< Expected.
     Common::instant sent;
     double predictedMs { 0 };
+    double tokensAhead { 0 }; ///< Prompt tokens to be read until its first event, its own included.
     bool hasBegun { false }; ///< Its first event or answer has arrived.
 };
 
@@ -50,10 +51,20 @@
     std::map<Common::zone_name, Common::region_name> regions;
 };
 
+/// Running regression of the time to a first event over the prompt tokens that had to be read before it.
+struct reading_model {
+    double weight { 0 };
+    double sumTokens { 0 };
+    double sumMs { 0 };
+    double sumTokensSquared { 0 };
+    double sumTokensMs { 0 };
+    double unloadedMsPerToken { 0 }; ///< Of an engine with nothing else to do; zero until known.
+};
+
 struct scheduler_state {
     location here;
     std::map<Common::endpoint_id, endpoint_state> endpoints;
-    std::map<Common::service_name, double> msPerToken; ///< Learned reading speed of a service's engines.
+    std::map<Common::service_name, reading_model> reading;
     Common::random_source random { 1 };
     placement_id lastPlacement;
 };
@@ -112,6 +123,13 @@
 /// An endpoint stated its load.
 void noteStatedLoad(scheduler_state& state, const Common::endpoint_id& endpoint, const stated_load& load, Common::instant now);
 
+/// @param state what is known.
+/// @param service the service of a request.
+/// @param fresh prompt tokens that have to be read.
+/// @param model the request's size.
+/// @return time of an engine that the request takes, in milliseconds.
+double engineMs(const scheduler_state& state, const Common::service_name& service, double fresh, const model_facts& model);
+
 /// @return whether an endpoint of the service takes work.
 bool hasEndpoint(const scheduler_state& state, const Common::service_name& service);
 
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -27,9 +27,11 @@
 
     constexpr milliseconds leavePollInterval { 50 };
     /// How long callers may keep an address: short, so that a node that leaves loses them soon.
-    constexpr milliseconds addressLife { 2000 };
+    constexpr milliseconds addressLife { 1000 };
     /// A node that its peers have found dead for so long has not just been restarted.
     constexpr milliseconds deadBeforeRemoval { 8000 };
+    /// Nodes that start together hear of each other within about a second.
+    constexpr milliseconds believedUnheard { 3000 };
     /// Part of the grace after which a leaving node ends, whatever is still in progress.
     constexpr double mostOfGrace = 0.93;
     /// Part of the grace during which callers may still hold this node's address.
@@ -88,6 +90,7 @@
     Fleet::node_map nodes; ///< As the store lists them.
     Membership::member_map members; ///< As the peers see them.
     std::map<Common::node_id, Common::instant> deadSince;
+    std::map<Common::node_id, Common::instant> unheardSince; ///< Listed in the store, but unknown to the peers.
     std::atomic<bool> isLeaving { false };
     std::atomic<bool> hasFailed { false };
 
@@ -104,7 +107,7 @@
     {
         Gateway::gateway_outlets outlets;
         outlets.report = [this](Gateway::interval_report&& report) {
-            static_cast<void>(peers.submit(Membership::push_grants { report.grants }));
+            static_cast<void>(peers.submit(Membership::push_grants { report.grants, report.demand }));
             static_cast<void>(control.submit(Control::interval_seen { std::move(report) }));
         };
         outlets.attemptSeen = [this](Gateway::attempt_seen&& seen) { static_cast<void>(control.submit(std::move(seen))); };
@@ -151,6 +154,7 @@
         outlets.tellDispatch = [](Dispatch::dispatch_message&&) {};
         outlets.located = [](const Common::request_id&, const std::string&) {};
         outlets.grantsHeard = [this](Quota::node_report&& report) { static_cast<void>(gateway.submit(Gateway::grants_heard { std::move(report) })); };
+        outlets.demandHeard = [this](Scaling::node_demand&& demand) { static_cast<void>(control.submit(Control::demand_heard { std::move(demand) })); };
         outlets.startLeavingHeard = [this](const Common::endpoint_id& id, int64_t startedMs) { static_cast<void>(control.submit(Control::leaving_heard { id, { startedMs } })); };
         outlets.catalogAsked = [this](const Common::node_id& peer, uint64_t after) { static_cast<void>(control.submit(Control::catalog_asked { peer, after })); };
         outlets.catalogHeard = [this](uint64_t version, std::string&& text) { static_cast<void>(control.submit(Control::catalog_text_heard { version, std::move(text) })); };
@@ -183,13 +187,25 @@
         publishDirectory();
     }
 
+    /// A node that is listed but has not been heard of by the peers is believed in for a moment only.
+    bool isReachable(const Common::node_id& id)
+    {
+        const Common::instant now = std::chrono::steady_clock::now();
+        const auto member = members.find(id);
+        if (member != members.end()) {
+            unheardSince.erase(id);
+            return member->second.status == Membership::member_status::Alive;
+        }
+        const Common::instant since = unheardSince.try_emplace(id, now).first->second;
+        return now - since < believedUnheard;
+    }
+
     /// What the store lists, less what the peers do not reach. The caller holds the mutex.
     void publishDirectory()
     {
         Fleet::node_map reachable = nodes;
         for (auto& [id, item] : reachable) {
-            const auto member = members.find(id);
-            item.isReachable = member == members.end() || member->second.status == Membership::member_status::Alive;
+            item.isReachable = id == facts.node || isReachable(id);
             item.isLeaving = item.isLeaving || (id == facts.node && isLeaving);
         }
         directory.setNodes(reachable);
@@ -209,6 +225,10 @@
             if (now - since >= deadBeforeRemoval)
                 dead.nodes.insert(id);
         }
+        for (const auto& [id, since] : unheardSince) {
+            if (nodes.contains(id) && now - since >= deadBeforeRemoval)
+                dead.nodes.insert(id);
+        }
         static_cast<void>(control.submit(std::move(dead)));
     }
 
@@ -251,6 +271,7 @@
 void platform_node::checkPeers()
 {
     const std::lock_guard guard(m_implementation->nodesMutex);
+    m_implementation->publishDirectory();
     m_implementation->tellDeadNodes();
 }
 
