Rollouts on the product's judgement, unit tests of the new modules, calls paced by the number of nodes

Change: operators' rollout orders feed the product's judgement (stages below the allowed exposure, all traffic moved before the end is reported); feeds pause after changes and wait longer with many nodes; two nodes watch the lease closely, the others now and then; reports between nodes stretch with their number.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -1,15 +1,18 @@
 #include "Control/ControlDuty.h"
 
 #include "Common/BootClock.h"
+#include "Common/Hash.h"
 #include "Common/Log.h"
 #include "Common/Metrics.h"
 #include "Common/Ring.h"
+#include "Control/RolloutKeeper.h"
 #include "Control/TrueTime.h"
 #include "Control/UsageReporter.h"
 #include "Lease/Lease.h"
 #include "Scaling/Plan.h"
 #include "Store/TableWatch.h"
 
+#include <algorithm>
 #include <atomic>
 
 namespace Control {
@@ -18,10 +21,22 @@
 
     constexpr size_t ringCapacity = 4096;
     constexpr milliseconds longestPoll { 200 };
-    /// A feed that fell silent is noticed after this; well under the bound of a new catalog's taking effect.
-    constexpr milliseconds urgentWait { 1500 };
-    /// Nodes are noticed by their peers; the table only introduces them.
-    constexpr milliseconds nodesWait { 6000 };
+    /// Waits of the feeds. A feed that fell silent is noticed soon after its wait; peers tell of newer catalogs and of
+    /// endpoints that leave besides, so with many nodes each may wait longer.
+    constexpr milliseconds catalogWait { 1500 };
+    constexpr milliseconds endpointWait { 1700 };
+    constexpr milliseconds nodesWait { 8000 };
+    constexpr milliseconds statusWait { 1500 };
+    constexpr milliseconds longestFeedWait { 3000 };
+    /// Endpoints and nodes often change several at a time.
+    constexpr milliseconds endpointPause { 250 };
+    constexpr milliseconds longestEndpointPause { 1500 };
+    constexpr milliseconds nodesPause { 1000 };
+    /// So many nodes watch the lease closely; the others look now and then.
+    constexpr size_t closeWatchers = 2;
+    constexpr milliseconds closeWatchInterval { 1500 };
+    constexpr milliseconds distantWatchInterval { 9000 };
+    constexpr size_t nodesPerStretch = 20;
     constexpr const char* nodeTable = "nodes";
     /// This node's counts of an unfinished window are written at this interval, for the case that it is killed.
     constexpr milliseconds countWriteInterval { 2000 };
@@ -30,11 +45,12 @@
     constexpr milliseconds registerPause { 300 };
     constexpr uint64_t nonceBits = 48;
     constexpr milliseconds planInterval { 300 };
+    constexpr milliseconds rolloutTickInterval { 200 };
 
+    /// The platform's store and the peers carry so many calls; with more nodes each calls less often.
     milliseconds stretched(milliseconds interval, size_t nodes)
     {
-        constexpr size_t nodesPerInterval = 20;
-        return interval * std::max<int64_t>(1, static_cast<int64_t>(nodes / nodesPerInterval));
+        return interval * std::max<int64_t>(1, static_cast<int64_t>((nodes + nodesPerStretch - 1) / nodesPerStretch));
     }
 
 } // namespace
@@ -50,6 +66,7 @@
     Store::table_watch operatorWatch;
     Store::table_watch endpointWatch;
     Store::table_watch nodeWatch;
+    Store::table_watch statusWatch; ///< Followed only while a rollout is known.
     Fleet::endpoint_book endpoints;
     Catalog::catalog_pointer catalog;
     std::string catalogText; ///< In the platform's form, for peers that can't reach the store.
@@ -74,6 +91,8 @@
     Scaling::order_book orders;
     Common::instant nextPlan;
     bool wasHolder { false };
+    rollout_keeper rollouts;
+    Common::instant nextRolloutTick;
 
     // --- Calls to the store
 
@@ -133,6 +152,75 @@
     void operatorRowsChanged()
     {
         adoptCatalog(operatorWatch.rows, "store");
+        perform(noteOrders(rollouts, settings.calls.rollouts(operatorWatch.rows), operatorWatch.rows, Common::bootClockNow()));
+    }
+
+    void statusRowsChanged()
+    {
+        for (const auto& [service, item] : std::map(rollouts.rollouts)) {
+            for (const auto& [key, row] : statusWatch.rows) {
+                const auto status = settings.calls.readRolloutStatus(row, item.order);
+                // The row of an earlier rollout to the same version is older than the order.
+                if (status && key.ends_with("/" + service.value) && row.version > item.orderVersion)
+                    perform(noteReported(rollouts, service, *status, Common::bootClockNow()));
+            }
+        }
+    }
+
+    // --- Rollouts
+
+    void perform(const keeper_actions& actions)
+    {
+        for (const Rollout::rollout_action& action : actions)
+            std::visit([this](const auto& item) { perform(item); }, action);
+    }
+
+    void perform(const Rollout::publish_shares& action)
+    {
+        for (const auto& [version, share] : action.shares) {
+            Common::logEvent(Common::log_level::Info, "version_share", { { "service", action.service }, { "version", version.value }, { "thousandths", share } });
+            outlets.tellGateway(Gateway::version_share_known { { action.service }, version, share });
+        }
+        // Without shares, the version that was rolled out is the current one.
+        const auto done = rollouts.rollouts.find({ action.service });
+        if (action.shares.empty() && done != rollouts.rollouts.end())
+            outlets.tellGateway(Gateway::version_share_known { { action.service }, done->second.order.to, 1000 });
+    }
+
+    void perform(const Rollout::tell_evidence& action) { outlets.tellPeersEvidence(action); }
+
+    void perform(const Rollout::tell_latch& action)
+    {
+        Common::logEvent(Common::log_level::Warning, "version_latched", { { "service", action.key.service }, { "version", action.key.version.value }, { "cause", action.cause } });
+        outlets.tellPeersLatch(action);
+    }
+
+    void perform(const Rollout::propose_end& action) { noteProposal(rollouts, action); }
+
+    void tickRollouts(Common::instant now)
+    {
+        if (!isActive(rollouts) || now < nextRolloutTick)
+            return;
+        nextRolloutTick = now + rolloutTickInterval;
+        perform(judge(rollouts, Rollout::rollout_tick {}, now));
+    }
+
+    void reportRollouts()
+    {
+        const auto report = nextReport(rollouts);
+        if (!report)
+            return;
+        Store::transaction write;
+        write.writes.push_back(settings.calls.rolloutStatus(report->order, *report->proposed));
+        Common::logEvent(Common::log_level::Info, "rollout_reported", { { "service", report->order.service.value }, { "version", report->order.to.value }, { "status", static_cast<int>(*report->proposed) } });
+        commit(write, [this, report](const Store::rows_answer& answer) {
+            const auto known = rollouts.rollouts.find(report->order.service);
+            if (known == rollouts.rollouts.end())
+                return;
+            known->second.isReporting = false;
+            if (answer.outcome == Store::call_outcome::Done)
+                perform(noteReported(rollouts, report->order.service, *report->proposed, Common::bootClockNow()));
+        });
     }
 
     void adoptCatalog(const std::map<std::string, Store::row>& rows, const char* source)
@@ -173,9 +261,30 @@
         // Another node has taken this one for dead.
         if (isRegistered && !nodes.contains(settings.self.node))
             isRegistered = false;
+        paceByNodes();
+        perform(judge(rollouts, Rollout::nodes_counted { nodes.size() }, Common::bootClockNow()));
         outlets.publishNodes(nodes);
     }
 
+    void paceByNodes()
+    {
+        operatorWatch.settings.longestWait = std::min(stretched(catalogWait, nodes.size()), longestFeedWait);
+        endpointWatch.settings.longestWait = std::min(stretched(endpointWait, nodes.size()), longestFeedWait);
+        endpointWatch.settings.pause = std::min(stretched(endpointPause, nodes.size()), longestEndpointPause);
+        nodeWatch.settings.pause = stretched(nodesPause, nodes.size());
+        lease.settings.watchInterval = ownRank() < closeWatchers ? closeWatchInterval : distantWatchInterval;
+    }
+
+    /// This node's place in the order in which nodes watch the lease; the same on all nodes.
+    size_t ownRank() const
+    {
+        const std::string& self = settings.self.node.value;
+        const uint64_t own = Common::rendezvousScore("lease", self);
+        return static_cast<size_t>(std::count_if(nodes.begin(), nodes.end(), [own, &self](const auto& entry) {
+            return entry.first.value != self && !entry.second.isLeaving && Common::rendezvousScore("lease", entry.first.value) > own;
+        }));
+    }
+
     /// Rows of nodes that ended without a word would hold back their share of the allowances for good.
     void removeDeadNodes()
     {
@@ -411,6 +520,7 @@
             return;
         reportUsage(now);
         orderEndpoints(now);
+        reportRollouts();
         removeDeadNodes();
     }
 
@@ -486,9 +596,11 @@
         settings.facts.cloud = message.facts.cloud;
     }
 
-    void take(Gateway::attempt_seen&&) { }
-    void take(Rollout::peer_evidence&&) { }
-    void take(Rollout::peer_latch&&) { }
+    void take(Gateway::attempt_seen&& message) { perform(judge(rollouts, toObserved(message), Common::bootClockNow())); }
+
+    void take(Rollout::peer_evidence&& message) { perform(judge(rollouts, std::move(message), Common::bootClockNow())); }
+
+    void take(Rollout::peer_latch&& message) { perform(judge(rollouts, std::move(message), Common::bootClockNow())); }
 
     void takeMessages()
     {
@@ -504,6 +616,9 @@
         follow(operatorWatch, &implementation::operatorRowsChanged);
         follow(endpointWatch, &implementation::endpointRowsChanged);
         follow(nodeWatch, &implementation::nodeRowsChanged);
+        if (isActive(rollouts))
+            follow(statusWatch, &implementation::statusRowsChanged);
+        tickRollouts(now);
         registerSelf(now);
         countBegun(now);
         writeCounts(now);
@@ -518,9 +633,11 @@
     implementation& self = *m_implementation;
     self.settings = std::move(settings);
     self.outlets = std::move(outlets);
-    self.operatorWatch.settings = { self.settings.calls.operatorTable, urgentWait };
-    self.endpointWatch.settings = { self.settings.calls.endpointTable, urgentWait };
-    self.nodeWatch.settings = { nodeTable, nodesWait };
+    self.operatorWatch.settings = { self.settings.calls.operatorTable, catalogWait, {} };
+    self.endpointWatch.settings = { self.settings.calls.endpointTable, endpointWait, endpointPause };
+    self.statusWatch.settings = { self.settings.calls.statusTable, statusWait, {} };
+    self.rollouts = makeRolloutKeeper(self.settings.facts.bounds.exposureShare);
+    self.nodeWatch.settings = { nodeTable, nodesWait, nodesPause };
     self.lease.settings.self = self.settings.self.node;
     self.lease.settings.duration = std::max(self.lease.settings.duration, self.settings.facts.bounds.lease + milliseconds(600));
     self.lease.lastNonce = self.settings.seed & ((uint64_t { 1 } << nonceBits) - 1);
--- a/Source/Core/Control/PlatformCalls.h
+++ b/Source/Core/Control/PlatformCalls.h
@@ -39,6 +39,7 @@
     Scaling::order_outcome (*dutyAnswer)(const Http::transfer_answer& answer) { nullptr };
     const char* operatorTable { "" };
     const char* endpointTable { "" };
+    const char* statusTable { "" };
     const char* catalogKey { "" }; ///< Of the catalog among the operator's rows.
     /// @return the newest catalog among the operator's rows, or null when there is none that can be read.
     Catalog::catalog_pointer (*catalog)(const std::map<std::string, Store::row>& rows, uint64_t newerThan) { nullptr };
--- /dev/null
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -0,0 +1,231 @@
+/// @file
+/// Usage reports, true time and rollouts as the control duty keeps them.
+
+#include "Control/RolloutKeeper.h"
+#include "Control/TrueTime.h"
+#include "Control/UsageReporter.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace Control;
+
+Common::instant at(int64_t ms)
+{
+    return Common::instant(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+constexpr int64_t windowMs = 5000;
+
+Store::rows_answer makeAnswer(Store::call_outcome outcome, std::vector<Store::row> rows = {})
+{
+    Store::rows_answer answer;
+    answer.outcome = outcome;
+    answer.rows = std::move(rows);
+    return answer;
+}
+
+Store::row makeCounts(Usage::window_number window, const char* node, uint64_t count)
+{
+    return { countRow(window, { node }), Usage::encodeCounts({ { { "clerks" }, count } }), { 1 }, false };
+}
+
+template <typename step_type>
+step_type expectStep(usage_reporter& reporter, int64_t trueMs)
+{
+    const auto step = nextStep(reporter, { trueMs }, at(trueMs));
+    CHECK(step.has_value());
+    CHECK(std::holds_alternative<step_type>(*step));
+    return std::get<step_type>(*step);
+}
+
+} // namespace
+
+TEST_GROUP(UsageReporter) {};
+
+TEST(UsageReporter, CountsOfAllNodesAreWrittenBeforeTheyAreSent)
+{
+    usage_reporter reporter;
+    reporter.lastBegun = Usage::window_number { 99 };
+    const int64_t now = 101 * windowMs + 2700;
+    const auto read = expectStep<read_counts>(reporter, now);
+    CHECK_EQUAL(100, read.window.value);
+    takeCounts(reporter, read.window, makeAnswer(Store::call_outcome::Done, { makeCounts(read.window, "a", 3), makeCounts(read.window, "b", 4) }), at(now));
+    const auto record = expectStep<record_report>(reporter, now);
+    CHECK_EQUAL(0, record.transaction.conditions.front().version.value);
+    takeRecorded(reporter, record.window, makeAnswer(Store::call_outcome::Done), at(now));
+    const auto send = expectStep<send_report>(reporter, now);
+    CHECK_EQUAL(7, send.counts.at({ "clerks" }));
+    takeSent(reporter, send.window, true, at(now));
+    CHECK(!nextStep(reporter, { now }, at(now)).has_value());
+}
+
+TEST(UsageReporter, AnEarlierHoldersReportGoesFirst)
+{
+    usage_reporter reporter;
+    reporter.lastBegun = Usage::window_number { 99 };
+    const int64_t now = 101 * windowMs + 2700;
+    const auto read = expectStep<read_counts>(reporter, now);
+    takeCounts(reporter, read.window, makeAnswer(Store::call_outcome::Done, { makeCounts(read.window, "a", 3) }), at(now));
+    const auto record = expectStep<record_report>(reporter, now);
+    const Store::row earlier { record.transaction.writes.front().name, Usage::encodeCounts({ { { "clerks" }, 5 } }), { 8 }, false };
+    takeRecorded(reporter, record.window, makeAnswer(Store::call_outcome::ConditionFailed, { earlier }), at(now));
+    CHECK_EQUAL(5, expectStep<send_report>(reporter, now).counts.at({ "clerks" }));
+}
+
+TEST(UsageReporter, AFailedStepIsTriedAgainWhileItIsInTime)
+{
+    const Store::call_outcome outcomes[] = { Store::call_outcome::Refused, Store::call_outcome::Unknown };
+    for (const auto outcome : outcomes) {
+        usage_reporter reporter;
+        reporter.lastBegun = Usage::window_number { 99 };
+        int64_t now = 101 * windowMs + 2700;
+        const auto read = expectStep<read_counts>(reporter, now);
+        takeCounts(reporter, read.window, makeAnswer(outcome), at(now));
+        CHECK(!nextStep(reporter, { now }, at(now)).has_value());
+        now += 500;
+        CHECK_EQUAL(100, expectStep<read_counts>(reporter, now).window.value);
+        takeCounts(reporter, read.window, makeAnswer(outcome), at(now));
+        // The report would be late: its window is given up, the next ones go on.
+        now = 101 * windowMs + 10000;
+        CHECK(expectStep<read_counts>(reporter, now).window.value > 100);
+    }
+}
+
+TEST(UsageReporter, CountsThatCannotBeReadAreLeftOut)
+{
+    for (const char* text : { "", "[1]", "{\"a\":-1}", "{\"a\":\"x\"}" })
+        CHECK(!Usage::decodeCounts(text).has_value());
+}
+
+TEST_GROUP(TrueTime) {};
+
+TEST(TrueTime, ANodeWhoseTimeOfDayJumpedIsOutvoted)
+{
+    struct row {
+        std::vector<int64_t> offsets;
+        int64_t median;
+    };
+    const row rows[] = {
+        { { 1000 }, 1000 },
+        { { 1000, 1002, -2400 }, 1000 },
+        { { 3400, 1000, 1001, 999, 3400 }, 1001 },
+    };
+    for (const row& item : rows)
+        CHECK_EQUAL(item.median, *medianOffset(item.offsets));
+    CHECK(!medianOffset({}).has_value());
+    CHECK_EQUAL(1750, trueTimeAt({ { 500 }, at(0) }, 1000, at(250)).value);
+}
+
+TEST_GROUP(RolloutKeeper) {};
+
+namespace {
+
+constexpr int64_t orderMs = 12000;
+
+struct played_rollout {
+    rollout_keeper keeper { makeRolloutKeeper(0.1) };
+    uint32_t share { 0 };
+    uint64_t toFresh { 0 };
+    uint64_t all { 0 };
+    double carried { 0 };
+
+    void take(const keeper_actions& actions)
+    {
+        for (const Rollout::rollout_action& action : actions) {
+            if (const auto* shares = std::get_if<Rollout::publish_shares>(&action)) {
+                for (const auto& [version, thousandths] : shares->shares)
+                    share = thousandths;
+            }
+            if (const auto* end = std::get_if<Rollout::propose_end>(&action))
+                noteProposal(keeper, *end);
+        }
+    }
+
+    void order()
+    {
+        const std::map<std::string, Store::row> rows { { "rollout/s", { { "op", "", "rollout/s" }, "", { 5 }, false } } };
+        take(noteOrders(keeper, { { { "s" }, { "v2" }, milliseconds(orderMs) } }, rows, at(0)));
+    }
+
+    void observe(const char* version, bool isGood, int64_t now)
+    {
+        for (const auto what : { Gateway::attempt_seen::event::Begun, isGood ? Gateway::attempt_seen::event::Good : Gateway::attempt_seen::event::Failed })
+            take(judge(keeper, toObserved({ { "s" }, { version }, { "r" }, what }), at(now)));
+    }
+
+    /// @param badFrom when the fresh version turns bad.
+    void play(int64_t badFrom)
+    {
+        constexpr int64_t requestIntervalMs = 20;
+        order();
+        for (int64_t now = 0; now < orderMs; now += requestIntervalMs) {
+            if (now % 200 == 0)
+                take(judge(keeper, Rollout::rollout_tick {}, at(now)));
+            ++all;
+            carried += share / 1000.0;
+            const bool isFresh = carried >= 1;
+            if (isFresh) {
+                carried -= 1;
+                ++toFresh;
+            }
+            observe(isFresh ? "v2" : "v1", !isFresh || now < badFrom || now % 40 == 0, now);
+        }
+    }
+
+    std::optional<rollout_status> proposed() const { return keeper.rollouts.begin()->second.proposed; }
+};
+
+} // namespace
+
+TEST(RolloutKeeper, GoodVersionsTakeOverInTimeAndBadOnesAreTakenBackBarelyExposed)
+{
+    struct row {
+        int64_t badFrom;
+        rollout_status end;
+    };
+    const row rows[] = {
+        { orderMs, rollout_status::Completed },
+        { 0, rollout_status::Reverted },
+        { 3000, rollout_status::Reverted },
+        { 6000, rollout_status::Reverted },
+    };
+    for (const row& item : rows) {
+        played_rollout played;
+        played.play(item.badFrom);
+        CHECK(played.proposed() == item.end);
+        if (item.end == rollout_status::Completed) {
+            CHECK_EQUAL(1000, played.share);
+            continue;
+        }
+        CHECK_EQUAL(0, played.share);
+        CHECK(played.toFresh <= 0.1 * static_cast<double>(played.all) + 50);
+    }
+}
+
+TEST(RolloutKeeper, TheStateIsReportedStepByStep)
+{
+    played_rollout played;
+    played.order();
+    auto report = nextReport(played.keeper);
+    CHECK(report->proposed == rollout_status::InProgress);
+    CHECK(!nextReport(played.keeper).has_value());
+    played.keeper.rollouts.begin()->second.isReporting = false;
+    noteReported(played.keeper, { "s" }, rollout_status::InProgress, at(10));
+    CHECK(!nextReport(played.keeper).has_value());
+    played.keeper.rollouts.begin()->second.proposed = rollout_status::Reverted;
+    CHECK(nextReport(played.keeper)->proposed == rollout_status::Reverted);
+    played.take(noteReported(played.keeper, { "s" }, rollout_status::Reverted, at(20)));
+    CHECK_EQUAL(0, played.share);
+    CHECK(!isActive(played.keeper));
+}
+
+TEST(RolloutKeeper, AnotherNodesLatchHoldsHere)
+{
+    played_rollout played;
+    played.order();
+    CHECK(played.share > 0);
+    played.take(judge(played.keeper, Rollout::peer_latch { { "s", { "v2" } }, "failing" }, at(100)));
+    CHECK_EQUAL(0, played.share);
+}
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -26,6 +26,9 @@
     constexpr size_t ringCapacity = 4096;
     /// How often grants, usage and demand are reported: the allowances are shared within this time.
     constexpr milliseconds reportInterval { 250 };
+    constexpr milliseconds reportSlack { 150 };
+    /// Every node tells every other; with more nodes each tells less often.
+    constexpr size_t nodesPerStretch = 20;
     /// Taken off an endpoint's time budget for the way back.
     constexpr milliseconds returnAllowance { 5 };
     /// Connecting within a region takes tens of milliseconds; a silent machine must not eat the time budget.
@@ -122,7 +125,7 @@
     Scheduling::scheduler_state scheduler;
     Quota::ledger quota;
     Limits::repeat_budgets repeats;
-    std::map<Common::service_name, version_shares_known> versionShares;
+    std::map<Common::service_name, version_share_known> versionShares;
     interval_report interval;
     std::optional<Common::instant> leavingSince;
 
@@ -258,28 +261,34 @@
         return work;
     }
 
-    std::optional<Common::version_name> chooseVersion(const call& item)
+    /// During a rollout a drawn part of the requests goes to the fresh version, and no other.
+    void limitVersion(const call& item, Scheduling::placement_limits& limits)
     {
         constexpr uint32_t thousandths = 1000;
         const auto known = versionShares.find(item.service);
-        if (known == versionShares.end() || known->second.current.value.empty())
-            return {};
-        uint32_t draw = Common::uniformBelow(scheduler.random, thousandths);
-        for (const auto& [version, share] : known->second.shares) {
-            if (draw < share)
-                return version;
-            draw -= share;
-        }
-        return known->second.current;
+        if (known == versionShares.end())
+            return;
+        const bool isDrawn = Common::uniformBelow(scheduler.random, thousandths) < known->second.thousandths;
+        (isDrawn ? limits.onlyVersion : limits.neverVersion) = known->second.fresh;
     }
 
-    void place(call& item)
+    tl::expected<Scheduling::placement, Scheduling::refusal> choose(const call& item, Common::instant now)
     {
-        const Common::instant now = clockNow();
         Scheduling::placement_limits limits;
         limits.avoided = item.tried;
-        limits.version = chooseVersion(item);
-        const auto placed = Scheduling::place(scheduler, workOf(item), limits, now);
+        limitVersion(item, limits);
+        auto placed = Scheduling::place(scheduler, workOf(item), limits, now);
+        if (placed || !limits.onlyVersion)
+            return placed;
+        // The fresh version can't take it: that is no reason to refuse.
+        limits.neverVersion = limits.onlyVersion;
+        limits.onlyVersion.reset();
+        return Scheduling::place(scheduler, workOf(item), limits, now);
+    }
+
+    void place(call& item)
+    {
+        const auto placed = choose(item, clockNow());
         if (placed)
             return send(item, *placed);
         if (item.progress.endpointsRun > 0 || item.progress.hasHeadSent)
@@ -443,11 +452,17 @@
         return Scheduling::placement_end::Abandoned;
     }
 
+    static bool isLate(const call& item)
+    {
+        const double ms = item.progress.hasHeadSent ? item.firstByteMs : toMs(clockNow() - item.arrived);
+        return item.route->target.count() > 0 && ms > toMs(item.route->target);
+    }
+
     attempt_seen::event seenEventOf(const call& item, attempt_end outcome) const
     {
         switch (outcome) {
         case attempt_end::Answered:
-            return toMs(clockNow() - item.arrived) > toMs(item.route->target) && !item.progress.hasHeadSent ? attempt_seen::event::Late : attempt_seen::event::Good;
+            return isLate(item) ? attempt_seen::event::Late : attempt_seen::event::Good;
         case attempt_end::Failed:
         case attempt_end::Broken:
         case attempt_end::TimedOut:
@@ -654,6 +669,8 @@
     {
         Quota::setPeers(quota, message.peers, clockNow());
         repeats.nodes = message.peers.size() + 1;
+        // Three reports in a row are missing.
+        quota.silence = 3 * reportWait() + reportSlack;
     }
 
     void take(grants_heard& message)
@@ -661,7 +678,7 @@
         Quota::hearReport(quota, message.report, clockNow());
     }
 
-    void take(version_shares_known& message)
+    void take(version_share_known& message)
     {
         versionShares[message.service] = message;
     }
@@ -698,10 +715,16 @@
             interval.demand.engineMs[item.service] += Scheduling::engineMs(scheduler, item.service, item.current->where.freshTokens, *item.facts.model);
     }
 
+    milliseconds reportWait() const
+    {
+        return reportInterval * std::max<int64_t>(1, static_cast<int64_t>(repeats.nodes / nodesPerStretch));
+    }
+
     void reportLater()
     {
-        reportTimer.expires_after(reportInterval);
-        reportTimer.async_wait([this](const error_code& error) {
+        const milliseconds wait = reportWait();
+        reportTimer.expires_after(wait);
+        reportTimer.async_wait([this, wait](const error_code& error) {
             if (error)
                 return;
             interval.grants = Quota::makeReport(quota, clockNow());
@@ -709,7 +732,7 @@
             interval.grants.incarnation = settings.incarnation;
             interval.demand.node = settings.facts.node;
             interval.demand.zone = settings.facts.zone;
-            interval.demand.interval = reportInterval;
+            interval.demand.interval = wait;
             interval.inFlight = calls.size();
             outlets.report(std::move(interval));
             interval = {};
--- a/Source/Core/Gateway/GatewayDuty.h
+++ b/Source/Core/Gateway/GatewayDuty.h
@@ -41,17 +41,17 @@
     Quota::node_report report;
 };
 
-/// How requests of a service are spread over its versions during a rollout.
-struct version_shares_known {
+/// The part of a service's requests that goes to a version that is being rolled out.
+struct version_share_known {
     Common::service_name service;
-    Common::version_name current; ///< Takes what the shares leave; empty: any version.
-    std::map<Common::version_name, uint32_t> shares; ///< In thousandths.
+    Common::version_name fresh;
+    uint32_t thousandths { 0 };
 };
 
 /// This node begins to leave.
 struct leave_begun { };
 
-using gateway_message = std::variant<catalog_known, endpoints_known, peers_known, grants_heard, version_shares_known, leave_begun>;
+using gateway_message = std::variant<catalog_known, endpoints_known, peers_known, grants_heard, version_share_known, leave_begun>;
 
 /// How an attempt ended, for the judgement of a version.
 struct attempt_seen {
--- a/Source/Core/Lease/Lease.h
+++ b/Source/Core/Lease/Lease.h
@@ -22,7 +22,7 @@
     Common::node_id self;
     milliseconds duration { 3600 }; ///< Longer than the time in which a duty must not return to an earlier holder.
     milliseconds renewInterval { 1200 };
-    milliseconds watchInterval { 1500 }; ///< Between two looks of a node that does not hold it.
+    milliseconds watchInterval { 1500 }; ///< Between two looks of a node that does not hold it, by its rank.
 };
 
 /// What the row says.
--- /dev/null
+++ b/Source/Core/Limits/Tests/RepeatBudgetTest.cpp
@@ -0,0 +1,54 @@
+/// @file
+/// Repeats of a service over a sliding window and over all nodes.
+
+#include "Limits/RepeatBudget.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace Limits;
+using std::chrono::milliseconds;
+
+Common::instant at(int ms)
+{
+    return Common::instant(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+} // namespace
+
+TEST_GROUP(RepeatBudget) {};
+
+TEST(RepeatBudget, AllNodesTogetherStayWithinTheBound)
+{
+    struct row {
+        size_t nodes;
+        int requestsPerNode;
+        double slack;
+    };
+    const row rows[] = { { 1, 100, 52 }, { 6, 20, 52 }, { 82, 5, 204 }, { 6, 0, 52 } };
+    for (const row& item : rows) {
+        int repeats = 0;
+        for (size_t node = 0; node < item.nodes; ++node) {
+            repeat_budgets budgets;
+            budgets.rules = { 0.2, item.slack, milliseconds(10000) };
+            budgets.nodes = item.nodes;
+            for (int request = 0; request < item.requestsPerNode; ++request)
+                countRequest(budgets, { "s" }, at(request));
+            while (takeRepeat(budgets, { "s" }, at(500)))
+                ++repeats;
+        }
+        const double bound = 0.2 * item.requestsPerNode * static_cast<double>(item.nodes) + item.slack;
+        CHECK(repeats <= bound);
+    }
+}
+
+TEST(RepeatBudget, WhatLiesBehindTheWindowIsForgotten)
+{
+    repeat_budgets budgets;
+    budgets.rules = { 0, 5, milliseconds(10000) };
+    while (takeRepeat(budgets, { "s" }, at(0))) { }
+    CHECK(!takeRepeat(budgets, { "s" }, at(9999)));
+    CHECK(takeRepeat(budgets, { "s" }, at(10001)));
+    CHECK(takeRepeat(budgets, { "other" }, at(0)));
+}
--- a/Source/Core/Quota/Quota.cpp
+++ b/Source/Core/Quota/Quota.cpp
@@ -28,7 +28,7 @@
     {
         size_t silent = 0;
         for (const auto& [id, peer] : state.peers) {
-            if (now - peer.heardAt > peerSilence)
+            if (now - peer.heardAt > state.silence)
                 ++silent;
         }
         return silent;
@@ -156,7 +156,7 @@
     const bool isFirst = peer->second.incarnation.value == 0;
     const bool isRestarted = !isFirst && peer->second.incarnation != report.incarnation;
     // While it was silent, its equal share was charged already.
-    const bool wasSilent = now - peer->second.heardAt > peerSilence;
+    const bool wasSilent = now - peer->second.heardAt > state.silence;
     peer->second = { report.incarnation, now };
     for (const granted_total& item : report.accounts) {
         const auto found = state.accounts.find(item.account);
--- a/Source/Core/Quota/Quota.h
+++ b/Source/Core/Quota/Quota.h
@@ -55,12 +55,11 @@
     std::map<Common::account_id, account_bucket> accounts;
     std::map<Common::node_id, peer_state> peers; ///< Nodes that may be granting now.
     Common::instant reportedAt;
+    /// A peer silent for longer is charged with its equal share until it is heard again or leaves the set of nodes.
+    milliseconds silence { 900 };
     bool startsEmpty { false }; ///< The allowances may have been used up before this process started.
 };
 
-/// A peer silent for longer is charged with its equal share until it is heard again or leaves the set of nodes.
-constexpr milliseconds peerSilence { 900 };
-
 /// Puts the allowances of a catalog in force.
 void setAllowances(ledger& state, const Catalog::catalog& item, Common::instant now);
 /// Sets which other nodes may be granting.
--- a/Source/Core/Rollout/Rollout.cpp
+++ b/Source/Core/Rollout/Rollout.cpp
@@ -1,7 +1,6 @@
 #include "Rollout/Rollout.h"
 
 #include <algorithm>
-#include <array>
 
 namespace Rollout {
 
@@ -9,21 +8,12 @@
 
     using actions = std::vector<rollout_action>;
 
-    constexpr std::array stages {
-        rollout_stage { 10, 50, 20 },
-        rollout_stage { 50, 150, 60 },
-        rollout_stage { 200, 300, 150 },
-        rollout_stage { 500, 500, 300 },
-    };
     constexpr uint64_t fewestNeeded = 8;
     /// Each stage may use this share of the time until the deadline; the rest is spare.
     constexpr double stageTimeShare = 0.18;
-    /// At this share of the time a version that has passed all stages takes over.
-    constexpr double takeOverTimeShare = 0.8;
     /// At this share of the time a version that is not proven is taken back, in time for the deadline.
     constexpr double takeBackTimeShare = 0.95;
-    constexpr int64_t evidenceIntervalMilliseconds = 1000;
-    constexpr int64_t proposalIntervalMilliseconds = 5000;
+    constexpr uint32_t allTraffic = 1000;
     constexpr int64_t longestPlanMilliseconds = 3600000;
     constexpr uint64_t fewestUnanswered = 4;
 
@@ -53,21 +43,21 @@
     }
 
     /// With thin traffic less evidence has to do, but never less than a few attempts.
-    uint64_t needed(const active_rollout& item, const class_evidence& pooled, Common::wall_time now)
+    uint64_t needed(const rollout_settings& settings, const active_rollout& item, const class_evidence& pooled, Common::wall_time now)
     {
-        const rollout_stage& stage = stages[item.stage];
+        const rollout_stage& stage = settings.stages[item.stage];
         const double expected = attemptsPerMillisecond(item, pooled, now) * stageTimeShare * static_cast<double>(planned(item)) * stage.mostShare / 1000;
         return std::clamp(static_cast<uint64_t>(expected / 2), fewestNeeded, stage.neededEnded);
     }
 
     /// The stage's share, raised within bounds when it would not bring the evidence in time.
-    uint32_t chooseShare(const active_rollout& item, const class_evidence& pooled, Common::wall_time now)
+    uint32_t chooseShare(const rollout_settings& settings, const active_rollout& item, const class_evidence& pooled, Common::wall_time now)
     {
-        const rollout_stage& stage = stages[item.stage];
+        const rollout_stage& stage = settings.stages[item.stage];
         const double arriving = attemptsPerMillisecond(item, pooled, now) * stageTimeShare * static_cast<double>(planned(item));
         if (arriving <= 0)
             return stage.share;
-        const double wanted = 1000 * static_cast<double>(needed(item, pooled, now)) / (arriving / 2);
+        const double wanted = 1000 * static_cast<double>(needed(settings, item, pooled, now)) / (arriving / 2);
         return static_cast<uint32_t>(std::clamp(wanted, static_cast<double>(stage.share), static_cast<double>(stage.mostShare)));
     }
 
@@ -76,8 +66,8 @@
     {
         const evidence own = sum(item.own, &comparison::fresh);
         const uint64_t unanswered = own.begun - std::min(own.begun, own.ended);
-        const uint64_t allowed = std::max(fewestUnanswered, stages[item.stage].neededEnded / std::max<size_t>(state.nodes, 1));
-        return item.stage + 1 < stages.size() && unanswered >= allowed;
+        const uint64_t allowed = std::max(fewestUnanswered, state.settings.stages[item.stage].neededEnded / std::max<size_t>(state.nodes, 1));
+        return item.stage + 1 < state.settings.stages.size() && unanswered >= allowed;
     }
 
     void publish(rollout_state& state, const rollout_key& key, uint32_t share, actions& output)
@@ -111,11 +101,11 @@
         output.push_back(tell_latch { key, cause });
     }
 
-    void propose(active_rollout& item, Configuration::version_state end, const std::string& cause, Common::wall_time now, actions& output)
+    void propose(const rollout_settings& settings, active_rollout& item, Configuration::version_state end, const std::string& cause, Common::wall_time now, actions& output)
     {
         if (now < item.nextProposal)
             return;
-        item.nextProposal = { now.value + proposalIntervalMilliseconds };
+        item.nextProposal = { now.value + settings.proposalIntervalMs };
         Configuration::endpoint_version version = item.version;
         version.state = end;
         version.cause = cause;
@@ -133,18 +123,26 @@
         }
     }
 
-    void advance(active_rollout& item, const class_evidence& pooled, Common::wall_time now)
+    void advance(const rollout_settings& settings, active_rollout& item, const class_evidence& pooled, Common::wall_time now)
     {
-        if (item.stage + 1 >= stages.size())
+        if (item.stage + 1 >= settings.stages.size())
             return;
-        if (sum(pooled, &comparison::fresh).ended < needed(item, pooled, now))
+        if (sum(pooled, &comparison::fresh).ended < needed(settings, item, pooled, now))
             return;
         item.stage += 1;
     }
 
-    bool isProven(const active_rollout& item, const class_evidence& pooled, Common::wall_time now)
+    bool isProven(const rollout_settings& settings, const active_rollout& item, const class_evidence& pooled, Common::wall_time now)
     {
-        return item.stage + 1 == stages.size() && sum(pooled, &comparison::fresh).ended >= needed(item, pooled, now);
+        return item.stage + 1 == settings.stages.size() && sum(pooled, &comparison::fresh).ended >= needed(settings, item, pooled, now);
+    }
+
+    void takeOver(rollout_state& state, const rollout_key& key, active_rollout& item, const class_evidence& pooled, Common::wall_time now, actions& output)
+    {
+        const bool movesAllFirst = state.settings.endTimeShare > 0;
+        if (!movesAllFirst || timeShare(item, now) >= state.settings.endTimeShare)
+            propose(state.settings, item, Configuration::version_state::Current, "proven: " + describe(pooled), now, output);
+        publish(state, key, movesAllFirst ? allTraffic : chooseShare(state.settings, item, pooled, now), output);
     }
 
     void tickRollout(rollout_state& state, const rollout_key& key, active_rollout& item, Common::wall_time now, actions& output)
@@ -153,16 +151,16 @@
         if (!item.isLatched)
             judgeAll(state, key, pooled, output);
         if (item.isLatched) {
-            propose(item, Configuration::version_state::TakenBack, item.cause, now, output);
+            propose(state.settings, item, Configuration::version_state::TakenBack, item.cause, now, output);
             return;
         }
-        advance(item, pooled, now);
+        advance(state.settings, item, pooled, now);
         const double elapsed = timeShare(item, now);
-        if (isProven(item, pooled, now) && elapsed >= takeOverTimeShare)
-            propose(item, Configuration::version_state::Current, "proven: " + describe(pooled), now, output);
-        else if (elapsed >= takeBackTimeShare)
-            propose(item, Configuration::version_state::TakenBack, "not proven in time: " + describe(pooled), now, output);
-        publish(state, key, isOverexposed(state, item) ? 0 : chooseShare(item, pooled, now), output);
+        if (isProven(state.settings, item, pooled, now) && elapsed >= state.settings.takeOverTimeShare)
+            return takeOver(state, key, item, pooled, now, output);
+        if (elapsed >= takeBackTimeShare)
+            propose(state.settings, item, Configuration::version_state::TakenBack, "not proven in time: " + describe(pooled), now, output);
+        publish(state, key, isOverexposed(state, item) ? 0 : chooseShare(state.settings, item, pooled, now), output);
     }
 
     void begin(rollout_state& state, const rollout_key& key, const Configuration::endpoint_version& version, actions& output)
@@ -177,7 +175,7 @@
             item.cause = known->second;
         }
         state.active.emplace(key, std::move(item));
-        publish(state, key, known != state.latched.end() ? 0 : stages.front().share, output);
+        publish(state, key, known != state.latched.end() ? 0 : state.settings.stages.front().share, output);
     }
 
     void handle(rollout_state& state, configuration_seen&& message, Common::wall_time, actions& output)
@@ -273,7 +271,7 @@
     {
         const bool isTelling = now >= state.nextEvidence;
         if (isTelling)
-            state.nextEvidence = { now.value + evidenceIntervalMilliseconds };
+            state.nextEvidence = { now.value + state.settings.evidenceIntervalMs };
         for (auto& [key, item] : state.active) {
             tickRollout(state, key, item, now, output);
             if (isTelling && !item.own.empty())
--- a/Source/Core/Rollout/Rollout.h
+++ b/Source/Core/Rollout/Rollout.h
@@ -102,7 +102,32 @@
     Common::wall_time nextProposal;
 };
 
+/// One stage of a rollout.
+struct rollout_stage {
+    uint32_t share; ///< Thousandths of the traffic.
+    uint32_t mostShare; ///< Raised up to this when traffic is too thin for the evidence.
+    uint64_t neededEnded; ///< Attempts that must have ended without a fault before the next stage.
+};
+
+/// How rollouts proceed.
+struct rollout_settings {
+    std::vector<rollout_stage> stages {
+        { 10, 50, 20 },
+        { 50, 150, 60 },
+        { 200, 300, 150 },
+        { 500, 500, 300 },
+    };
+    /// At this share of the time a version that has passed all stages takes over.
+    double takeOverTimeShare { 0.8 };
+    /// When set, a proven version first gets all traffic, and its end is proposed at this share of the time: where the
+    /// endpoints of the version before end with the rollout, nothing may run on them any more.
+    double endTimeShare { 0 };
+    int64_t evidenceIntervalMs { 1000 };
+    int64_t proposalIntervalMs { 5000 };
+};
+
 struct rollout_state {
+    rollout_settings settings;
     std::map<rollout_key, active_rollout> active;
     std::map<rollout_key, std::string> latched; ///< Stays after the rollout's end: a latch never opens.
     std::map<std::string, version_shares> published;
@@ -111,13 +136,6 @@
     Common::wall_time nextEvidence;
 };
 
-/// One stage of a rollout.
-struct rollout_stage {
-    uint32_t share; ///< Thousandths of the traffic.
-    uint32_t mostShare; ///< Raised up to this when traffic is too thin for the evidence.
-    uint64_t neededEnded; ///< Attempts that must have ended without a fault before the next stage.
-};
-
 /// @param state all rollouts under way; changed in place.
 /// @param message what happened.
 /// @param now wall-clock time, since deadlines outlive processes.
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -143,7 +143,9 @@
     {
         if (endpoint.facts.service != item.service || endpoint.facts.phase != Fleet::endpoint_phase::Ready)
             return false;
-        if (limits.version && endpoint.facts.version != *limits.version)
+        if (limits.onlyVersion && endpoint.facts.version != *limits.onlyVersion)
+            return false;
+        if (limits.neverVersion && endpoint.facts.version == *limits.neverVersion)
             return false;
         return !limits.avoided.contains(endpoint.facts.id);
     }
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -90,7 +90,8 @@
 /// What a placement must avoid or respect.
 struct placement_limits {
     std::set<Common::endpoint_id> avoided; ///< Already tried.
-    std::optional<Common::version_name> version; ///< Only endpoints of this version, when set.
+    std::optional<Common::version_name> onlyVersion;
+    std::optional<Common::version_name> neverVersion;
 };
 
 /// Adds an endpoint or renews what is known of it. A restart forgets its load and cache.
--- a/Source/Core/Store/TableWatch.cpp
+++ b/Source/Core/Store/TableWatch.cpp
@@ -63,7 +63,7 @@
 
 std::optional<watch_query> nextQuery(table_watch& watch, Common::instant now)
 {
-    if (watch.isCalling || now < watch.nextCall)
+    if (watch.isCalling || (now < watch.nextCall && !(watch.wantsRefresh && !watch.isLost)))
         return {};
     watch.isCalling = true;
     if (!watch.isWhole || watch.wantsRefresh) {
@@ -98,6 +98,8 @@
     watch.heardAt = now;
     event.hasChanged = watch.isWhole ? applyChanges(watch, answer) : applyPage(watch, answer);
     watch.wantsRefresh = watch.wantsRefresh || mustReread;
+    if (event.hasChanged && watch.isWhole)
+        watch.nextCall = now + watch.settings.pause;
     return event;
 }
 
--- /dev/null
+++ b/Source/Core/Store/Tests/TableWatchTest.cpp
@@ -0,0 +1,130 @@
+/// @file
+/// A table that is followed through changes, lost history, outages and pages.
+
+#include "Store/TableWatch.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace Store;
+
+Common::instant at(int ms)
+{
+    return Common::instant(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
+}
+
+row makeRow(const char* key, uint64_t version, bool isRemoved = false)
+{
+    return { { "t", "", key }, "value", { version }, isRemoved };
+}
+
+rows_answer makeAnswer(std::vector<row> rows, uint64_t newest, bool hasMore = false)
+{
+    rows_answer answer;
+    answer.outcome = call_outcome::Done;
+    answer.rows = std::move(rows);
+    answer.newest = { newest };
+    answer.hasMore = hasMore;
+    return answer;
+}
+
+rows_answer makeFailure(call_outcome outcome)
+{
+    rows_answer answer;
+    answer.outcome = outcome;
+    return answer;
+}
+
+bool asksWhole(table_watch& watch, Common::instant now)
+{
+    const auto query = nextQuery(watch, now);
+    CHECK(query.has_value());
+    return std::holds_alternative<range>(*query);
+}
+
+table_watch makeFollowing()
+{
+    table_watch watch;
+    watch.settings.table = "t";
+    CHECK(asksWhole(watch, at(0)));
+    takeAnswer(watch, makeAnswer({ makeRow("a", 1), makeRow("b", 2) }, 5), at(0));
+    return watch;
+}
+
+} // namespace
+
+TEST_GROUP(TableWatch) {};
+
+TEST(TableWatch, ChangesAreAppliedInOrder)
+{
+    table_watch watch = makeFollowing();
+    struct step {
+        std::vector<row> rows;
+        uint64_t newest;
+        bool hasChanged;
+        size_t size;
+    };
+    const step steps[] = {
+        { {}, 5, false, 2 },
+        { { makeRow("c", 6) }, 6, true, 3 },
+        { { makeRow("a", 7, true) }, 7, true, 2 },
+        { {}, 9, false, 2 },
+    };
+    for (const step& item : steps) {
+        CHECK(!asksWhole(watch, at(1)));
+        CHECK_EQUAL(item.hasChanged, takeAnswer(watch, makeAnswer(item.rows, item.newest), at(1)).hasChanged);
+        CHECK_EQUAL(item.size, watch.rows.size());
+        CHECK_EQUAL(item.newest, watch.newest.value);
+    }
+}
+
+TEST(TableWatch, LostHistoryIsReadWholeAgain)
+{
+    table_watch watch = makeFollowing();
+    CHECK(!asksWhole(watch, at(1)));
+    takeAnswer(watch, makeFailure(call_outcome::HistoryLost), at(1));
+    CHECK(asksWhole(watch, at(1)));
+    CHECK(takeAnswer(watch, makeAnswer({ makeRow("b", 8) }, 9), at(1)).hasChanged);
+    CHECK_EQUAL(1, watch.rows.size());
+}
+
+TEST(TableWatch, AnOutageIsToldOnceAndEndsWithAWholeReading)
+{
+    table_watch watch = makeFollowing();
+    int now = 1;
+    int lost = 0;
+    for (int call = 0; call < 5; ++call) {
+        while (!nextQuery(watch, at(now)))
+            now += 10;
+        lost += takeAnswer(watch, makeFailure(call % 2 ? call_outcome::Unknown : call_outcome::Refused), at(now)).hasFailed ? 1 : 0;
+        CHECK_EQUAL(2, watch.rows.size());
+    }
+    CHECK_EQUAL(1, lost);
+    while (!nextQuery(watch, at(now)))
+        now += 10;
+    CHECK(takeAnswer(watch, makeAnswer({}, 5), at(now)).hasReturned);
+    CHECK(asksWhole(watch, at(now)));
+}
+
+TEST(TableWatch, PagesAreJoinedBeforeTheyCount)
+{
+    table_watch watch;
+    CHECK(asksWhole(watch, at(0)));
+    CHECK(!takeAnswer(watch, makeAnswer({ makeRow("a", 1) }, 3, true), at(0)).hasChanged);
+    const auto next = nextQuery(watch, at(0));
+    CHECK(std::get<range>(*next).from > "a");
+    CHECK(takeAnswer(watch, makeAnswer({ makeRow("b", 2) }, 3), at(0)).hasChanged);
+    CHECK_EQUAL(2, watch.rows.size());
+}
+
+TEST(TableWatch, ARefreshIsAskedForAtOnceAndPausesAreKept)
+{
+    table_watch watch = makeFollowing();
+    watch.settings.pause = std::chrono::milliseconds(500);
+    CHECK(!asksWhole(watch, at(1)));
+    takeAnswer(watch, makeAnswer({ makeRow("c", 6) }, 6), at(1));
+    CHECK(!nextQuery(watch, at(400)).has_value());
+    watch.wantsRefresh = true;
+    CHECK(asksWhole(watch, at(400)));
+}
