Plain endpoints take the room of reclaimable ones that are not to be had; demand as a plain average

The demand estimate rose faster than it fell and lay two to three times above the truth (6 busy engines against 2.6).

Ruled out: lost orders (each 409 said that none was to be had).

Change: zones where none was to be had lately leave their room to plain engines and are asked again every 2 s; demand is averaged over 3 s in both directions.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -442,8 +442,11 @@
         for (const auto& [name, service] : catalog->services) {
             if (!service.scaling)
                 continue;
-            const auto supply = Scaling::countSupply(endpoints.endpoints, name);
-            wanted.merge(Scaling::planEndpoints(service, Scaling::demandByZone(demand, name, now), supply));
+            Scaling::plan_input input;
+            input.demand = Scaling::demandByZone(demand, name, now);
+            input.supply = Scaling::countSupply(endpoints.endpoints, name);
+            input.exhausted = Scaling::exhaustedZones(orders, name, now);
+            wanted.merge(Scaling::planEndpoints(service, input));
         }
         const Scaling::wanted_map before = planMemory.wanted;
         if (Scaling::steady(planMemory, wanted, now) != before)
--- a/Source/Core/Scaling/Demand.cpp
+++ b/Source/Core/Scaling/Demand.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-    /// A rise counts within about this time, a fall only after several waves of requests.
-    constexpr milliseconds riseTime { 1500 };
-    constexpr milliseconds fallTime { 6000 };
+    /// Single requests are large: only an average over some seconds tells the demand from its noise. Both directions
+    /// count alike, since an estimate that rises faster than it falls lies above the demand at all times.
+    constexpr milliseconds averagingTime { 3000 };
     /// Callers of a silent node have found another one by then, which reports their demand.
     constexpr milliseconds silenceLimit { 2500 };
 
@@ -20,8 +20,7 @@
 
     void smooth(smoothed_demand& item, double level, milliseconds interval)
     {
-        const milliseconds time = level > item.level ? riseTime : fallTime;
-        const double weight = 1 - std::exp(-toMs(interval) / toMs(time));
+        const double weight = 1 - std::exp(-toMs(interval) / toMs(averagingTime));
         item.level += (level - item.level) * weight;
     }
 
--- a/Source/Core/Scaling/Demand.h
+++ b/Source/Core/Scaling/Demand.h
@@ -25,7 +25,7 @@
 
 /// Demand of one service at one node, smoothed.
 struct smoothed_demand {
-    double level { 0 }; ///< Follows the demand, up faster than down.
+    double level { 0 }; ///< Average over the last seconds.
     Common::instant heardAt;
     Common::zone_name zone;
 };
--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -19,10 +19,18 @@
     /// Less is ordered only when less would have done for so long.
     constexpr milliseconds fallDelay { 6000 };
 
+    /// None was to be had: it is asked for again after this time.
+    constexpr milliseconds exhaustedPause { 2000 };
+    constexpr milliseconds exhaustedMemory { 3000 };
+
     struct zone_need {
         Common::zone_name zone;
         double needed { 0 }; ///< Endpoints.
         double price { 1 };
+        uint32_t supplied { 0 }; ///< Reclaimable endpoints that take work now.
+        uint32_t reclaimable { 0 }; ///< Wanted.
+        uint32_t plain { 0 }; ///< Wanted.
+        uint32_t plainRoom { 0 };
     };
 
     double totalOf(const std::vector<zone_need>& zones)
@@ -33,60 +41,76 @@
         return total;
     }
 
-    std::vector<zone_need> needByZone(const Catalog::service& item, const std::map<Common::zone_name, busy_engines>& demand, const supply_map& supply)
+    double busyOf(const plan_input& input, const Common::zone_name& zone, size_t zones)
     {
+        if (input.demand.empty()) {
+            uint32_t present = 0;
+            for (const auto& [name, count] : input.supply)
+                present += count.plain + count.reclaimable;
+            return assumedBusyPart * present / static_cast<double>(std::max<size_t>(1, zones));
+        }
+        const auto known = input.demand.find(zone);
+        return known == input.demand.end() ? 0 : known->second.value;
+    }
+
+    std::vector<zone_need> needByZone(const Catalog::service& item, const plan_input& input)
+    {
+        const Catalog::scaling_bounds& bounds = *item.scaling;
         std::vector<zone_need> needs;
-        uint32_t present = 0;
-        for (const auto& [zone, count] : supply)
-            present += count.plain + count.reclaimable;
-        const double assumed = assumedBusyPart * present / static_cast<double>(std::max<size_t>(1, item.scaling->zonePrices.size()));
-        for (const auto& [zone, price] : item.scaling->zonePrices) {
-            const auto known = demand.find(zone);
-            const double busy = demand.empty() ? assumed : (known == demand.end() ? 0 : known->second.value);
-            needs.push_back({ zone, busy / usablePart, price });
+        for (const auto& [zone, price] : bounds.zonePrices) {
+            zone_need need;
+            need.zone = zone;
+            need.price = price;
+            need.needed = busyOf(input, zone, bounds.zonePrices.size()) / usablePart;
+            const auto supply = input.supply.find(zone);
+            need.supplied = supply == input.supply.end() ? 0 : supply->second.reclaimable;
+            const auto wanted = static_cast<uint32_t>(std::ceil(reclaimableFactor * need.needed));
+            need.reclaimable = std::clamp(wanted, std::max(1U, bounds.least), bounds.most);
+            // What can't be had leaves its room to plain endpoints.
+            const uint32_t held = input.exhausted.contains(zone) ? std::min(need.supplied, need.reclaimable) : need.reclaimable;
+            need.plainRoom = bounds.most - held;
+            needs.push_back(need);
         }
         return needs;
     }
 
     /// What is left of the supply that can be reclaimed once the zone with most of it goes.
-    double reclaimableAfterLoss(const supply_map& supply)
+    double reclaimableAfterLoss(const std::vector<zone_need>& needs)
     {
         uint32_t total = 0;
         uint32_t most = 0;
-        for (const auto& [zone, count] : supply) {
-            total += count.reclaimable;
-            most = std::max(most, count.reclaimable);
+        for (const zone_need& need : needs) {
+            total += need.supplied;
+            most = std::max(most, need.supplied);
         }
         return total - most;
     }
 
-    uint32_t reclaimableIn(const supply_map& supply, const Common::zone_name& zone)
+    zone_need* findMostLacking(std::vector<zone_need>& needs)
     {
-        const auto known = supply.find(zone);
-        return known == supply.end() ? 0 : known->second.reclaimable;
+        constexpr double cheaperZoneBonus = 0.01;
+        zone_need* chosen = nullptr;
+        double mostLack = 0;
+        for (zone_need& need : needs) {
+            if (need.plain >= need.plainRoom)
+                continue;
+            const double lack = need.needed - need.plain - need.supplied - cheaperZoneBonus * need.price;
+            if (chosen && lack <= mostLack)
+                continue;
+            chosen = &need;
+            mostLack = lack;
+        }
+        return chosen;
     }
 
     /// Gives each missing endpoint to the zone that lacks most.
-    void addPlain(wanted_map& wanted, const Catalog::service& item, const std::vector<zone_need>& needs, const supply_map& supply, uint32_t missing)
+    void addPlain(std::vector<zone_need>& needs, double missing)
     {
-        constexpr double cheaperZoneBonus = 0.01;
-        for (; missing > 0; --missing) {
-            const zone_need* chosen = nullptr;
-            double mostLack = 0;
-            for (const zone_need& need : needs) {
-                const uint32_t plain = wanted[{ item.name, need.zone, false }];
-                const uint32_t reclaimable = reclaimableIn(supply, need.zone);
-                if (plain + wanted[{ item.name, need.zone, true }] >= item.scaling->most)
-                    continue;
-                const double lack = need.needed - plain - reclaimable - cheaperZoneBonus * need.price;
-                if (!chosen || lack > mostLack) {
-                    chosen = &need;
-                    mostLack = lack;
-                }
-            }
+        for (double added = 0; added < missing; ++added) {
+            zone_need* chosen = findMostLacking(needs);
             if (!chosen)
                 return;
-            ++wanted[{ item.name, chosen->zone, false }];
+            ++chosen->plain;
         }
     }
 
@@ -104,19 +128,17 @@
     return supply;
 }
 
-wanted_map planEndpoints(const Catalog::service& item, const std::map<Common::zone_name, busy_engines>& demand, const supply_map& supply)
+wanted_map planEndpoints(const Catalog::service& item, const plan_input& input)
 {
     wanted_map wanted;
     if (!item.scaling)
         return wanted;
-    const std::vector<zone_need> needs = needByZone(item, demand, supply);
+    std::vector<zone_need> needs = needByZone(item, input);
+    addPlain(needs, std::ceil(totalOf(needs) - reclaimableAfterLoss(needs)));
     for (const zone_need& need : needs) {
-        const auto reclaimable = static_cast<uint32_t>(std::ceil(reclaimableFactor * need.needed));
-        wanted[{ item.name, need.zone, true }] = std::clamp(reclaimable, std::max(1U, item.scaling->least), item.scaling->most);
-        wanted[{ item.name, need.zone, false }] = 0;
+        wanted[{ item.name, need.zone, false }] = need.plain;
+        wanted[{ item.name, need.zone, true }] = std::min(need.reclaimable, item.scaling->most - need.plain);
     }
-    const double missing = std::ceil(totalOf(needs) - reclaimableAfterLoss(supply));
-    addPlain(wanted, item, needs, supply, static_cast<uint32_t>(std::max(0.0, missing)));
     return wanted;
 }
 
@@ -161,9 +183,24 @@
     placed_order& known = state.orders[{ state.current->service, state.current->zone, state.current->isReclaimable }];
     known.isDone = outcome == order_outcome::Done;
     known.nextTry = now + (known.isDone ? renewPause : retryPause);
+    known.exhaustedUntil = {};
+    if (outcome == order_outcome::NoneAvailable) {
+        known.nextTry = now + exhaustedPause;
+        known.exhaustedUntil = now + exhaustedMemory;
+    }
     state.current.reset();
 }
 
+std::set<Common::zone_name> exhaustedZones(const order_book& state, const Common::service_name& service, Common::instant now)
+{
+    std::set<Common::zone_name> zones;
+    for (const auto& [item, known] : state.orders) {
+        if (item.service == service && item.isReclaimable && now < known.exhaustedUntil)
+            zones.insert(item.zone);
+    }
+    return zones;
+}
+
 void noteLoss(order_book& state, const subject& item, Common::instant now)
 {
     const auto known = state.orders.find(item);
--- a/Source/Core/Scaling/Plan.h
+++ b/Source/Core/Scaling/Plan.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Scaling {
@@ -43,11 +44,17 @@
     std::map<subject, Common::instant> lowerSince; ///< Since when less would do.
 };
 
+/// What a plan is made from.
+struct plan_input {
+    std::map<Common::zone_name, busy_engines> demand; ///< Empty while nothing is known.
+    supply_map supply; ///< What takes work now.
+    std::set<Common::zone_name> exhausted; ///< Zones where no reclaimable endpoint was to be had lately.
+};
+
 /// @param item a service that is scaled.
-/// @param demand by zone; empty while nothing is known.
-/// @param supply what takes work now.
+/// @param input demand and supply.
 /// @return the wanted number of each kind in each zone.
-wanted_map planEndpoints(const Catalog::service& item, const std::map<Common::zone_name, busy_engines>& demand, const supply_map& supply);
+wanted_map planEndpoints(const Catalog::service& item, const plan_input& input);
 
 /// Lets numbers rise at once and fall only after a while.
 /// @param memory changed in place.
@@ -59,6 +66,7 @@
     uint32_t desired { 0 };
     bool isDone { false }; ///< The cloud has confirmed it.
     Common::instant nextTry;
+    Common::instant exhaustedUntil; ///< None was to be had; until then it is taken to be so.
 };
 
 struct order_book {
@@ -75,6 +83,9 @@
 /// Takes the end of the order under way.
 void takeOutcome(order_book& state, order_outcome outcome, Common::instant now);
 
+/// @return zones where no reclaimable endpoint of the service was to be had lately.
+std::set<Common::zone_name> exhaustedZones(const order_book& state, const Common::service_name& service, Common::instant now);
+
 /// An endpoint of a subject went although it was ordered: the order is given again.
 void noteLoss(order_book& state, const subject& item, Common::instant now);
 
