--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -8,7 +8,7 @@
 namespace {
 
     /// Part of an engine's time that work may fill; the rest keeps waiting times short.
-    constexpr double usablePart = 0.6;
+    constexpr double usablePart = 0.75;
     /// Reclaimable endpoints that are ordered for each one needed, so that one zone may go.
     constexpr double reclaimableFactor = 1.5;
     /// While no demand is known, the endpoints present are taken to be this busy.
