--- a/Source/Core/Gateway/CallFlow.cpp
+++ b/Source/Core/Gateway/CallFlow.cpp
@@ -40,7 +40,8 @@
     case attempt_end::Answered:
         return next_step::GiveAnswer;
     case attempt_end::Failed:
-        return mayRunElsewhere(progress) ? next_step::TryAnother : next_step::GiveAnswer;
+        // Where the answer has begun, a failure of the endpoint that should go on with it must not end it as if whole.
+        return afterLoss(progress, next_step::GiveAnswer);
     case attempt_end::Broken:
         return afterLoss(progress, next_step::FailUnknown);
     case attempt_end::TimedOut:
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -404,6 +404,9 @@
             return attempt_end::NotRun;
         if (!current.answer.isSealed)
             return attempt_end::Broken;
+        // Only events can go on with an answer that has begun.
+        if (item.progress.hasHeadSent && !current.hasEvents)
+            return attempt_end::Failed;
         return current.status / statusesPerClass == serverFailureClass ? attempt_end::Failed : attempt_end::Answered;
     }
 
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -79,7 +79,7 @@
 TEST(Plan, WhereNoneIsToBeHadPlainEndpointsGetTheRoom)
 {
     // The load: every zone needs all it may have, and the cloud has just taken all reclaimable endpoints.
-    plan_input input { makeDemand(2.4, 2.4, 2.4), {}, {} };
+    plan_input input { makeDemand(3, 3, 3), {}, {} };
     CHECK_EQUAL(0, sum(planEndpoints(makeService(), input), false));
     input.exhausted = { { "a" }, { "b" }, { "c" } };
     const wanted_map wanted = planEndpoints(makeService(), input);
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -36,6 +36,9 @@
     constexpr double otherRegionMs = 180;
     /// Weight of a new sample in learned figures.
     constexpr double learningRate = 0.15;
+    constexpr double pressureRate = 0.05;
+    constexpr double mostPressure = 30;
+    constexpr double pressureReturn = 0.01;
     constexpr double leastSlowness = 0.3;
     constexpr double mostSlowness = 8;
     /// A stated load older than this says little.
@@ -79,13 +82,15 @@
         return found;
     }
 
-    void learnReading(reading_model& model, double tokens, double ms)
+    /// @param ms the observed time.
+    /// @param unpressedMs the same without the pressure of the moment.
+    void learnReading(reading_model& model, double tokens, double ms, double unpressedMs)
     {
         model.weight = model.weight * sampleFading + 1;
         model.sumTokens = model.sumTokens * sampleFading + tokens;
-        model.sumMs = model.sumMs * sampleFading + ms;
+        model.sumMs = model.sumMs * sampleFading + unpressedMs;
         model.sumTokensSquared = model.sumTokensSquared * sampleFading + tokens * tokens;
-        model.sumTokensMs = model.sumTokensMs * sampleFading + tokens * ms;
+        model.sumTokensMs = model.sumTokensMs * sampleFading + tokens * unpressedMs;
         if (tokens < tellingTokens)
             return;
         const double sample = std::clamp((ms - initialBaseMs) / tokens, leastMsPerToken, mostMsPerToken);
@@ -118,12 +123,18 @@
         return total > own ? total - own : 0;
     }
 
+    double pressureOf(const scheduler_state& state, const Common::service_name& service)
+    {
+        const auto known = state.pressure.find(service);
+        return known == state.pressure.end() ? 1 : known->second;
+    }
+
     double predictModelMs(const scheduler_state& state, const endpoint_state& endpoint, double fresh, Common::instant now)
     {
         const line learned = readingLine(state, endpoint.facts.service);
         const double reading = (endpoint.waitingTokens + fresh) * learned.msPerToken;
         const double batch = (static_cast<double>(endpoint.placed.size()) + othersWaiting(endpoint, now)) * msPerRunning;
-        return (learned.baseMs + reading + batch) * endpoint.slowness;
+        return (learned.baseMs + reading + batch) * endpoint.slowness * pressureOf(state, endpoint.facts.service);
     }
 
     double predictPlainMs(const endpoint_state& endpoint, Common::instant now)
@@ -180,6 +191,7 @@
         placed.freshTokens = chosen.fresh;
         placed.sent = now;
         placed.predictedMs = chosen.predicted;
+        placed.pressure = item.model ? pressureOf(state, item.service) : 1;
         placed.tokensAhead = chosen.endpoint->waitingTokens + chosen.fresh;
         if (item.model) {
             placed.outputTokens = item.model->expectedOutputTokens.value_or(item.model->mostOutputTokens);
@@ -196,13 +208,23 @@
         return found == state.endpoints.end() ? nullptr : &found->second;
     }
 
-    void learn(scheduler_state& state, endpoint_state& endpoint, const placed_work& item, Common::instant now)
+    void learnRatio(double& learned, double ratio, double rate, double most)
     {
-        const double actual = toMs(now - item.sent);
-        const double ratio = std::clamp(actual / std::max(1.0, item.predictedMs), leastSlowness, mostSlowness);
-        endpoint.slowness = std::clamp(endpoint.slowness * (1 - learningRate) + endpoint.slowness * ratio * learningRate, leastSlowness, mostSlowness);
-        if (item.freshTokens > 0)
-            learnReading(state.reading[endpoint.facts.service], item.tokensAhead, actual);
+        learned = std::clamp(learned * (1 - rate) + learned * ratio * rate, leastSlowness, most);
+    }
+
+    /// Learns from a time to a first event, or from a wait without one that is longer than predicted already.
+    void learn(scheduler_state& state, endpoint_state& endpoint, const placed_work& item, double actualMs)
+    {
+        const double ratio = std::clamp(actualMs / std::max(1.0, item.predictedMs), leastSlowness, mostSlowness);
+        learnRatio(endpoint.slowness, ratio, learningRate, mostSlowness);
+        if (item.tokensAhead <= 0)
+            return;
+        double& pressure = state.pressure.try_emplace(endpoint.facts.service, 1).first->second;
+        // The ratio is to the pressure that the prediction was made with, which may have changed since.
+        learnRatio(pressure, ratio * item.pressure / pressure, pressureRate, mostPressure);
+        // Both the pressure and the line through the samples scale the prediction: the pressure is drawn to one.
+        pressure += (1 - pressure) * pressureReturn;
     }
 
     void stopWaiting(endpoint_state& endpoint, placed_work& item)
@@ -265,7 +287,10 @@
     const auto item = known->placed.find(id);
     if (item == known->placed.end() || item->second.hasBegun)
         return;
-    learn(state, *known, item->second, now);
+    const double actualMs = toMs(now - item->second.sent);
+    learn(state, *known, item->second, actualMs);
+    if (item->second.freshTokens > 0)
+        learnReading(state.reading[known->facts.service], item->second.tokensAhead, actualMs, actualMs / item->second.pressure);
     stopWaiting(*known, item->second);
 }
 
@@ -277,6 +302,9 @@
     const auto item = known->placed.find(id);
     if (item == known->placed.end())
         return;
+    const double waitedMs = toMs(now - item->second.sent);
+    if (!item->second.hasBegun && end == placement_end::Abandoned && waitedMs > item->second.predictedMs)
+        learn(state, *known, item->second, waitedMs);
     stopWaiting(*known, item->second);
     known->placed.erase(item);
     switch (end) {
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -26,6 +26,7 @@
     double outputTokens { 0 }; ///< Expected.
     Common::instant sent;
     double predictedMs { 0 };
+    double pressure { 1 }; ///< That the prediction was made with.
     double tokensAhead { 0 }; ///< Prompt tokens to be read until its first event, its own included.
     bool hasBegun { false }; ///< Its first event or answer has arrived.
 };
@@ -65,6 +66,9 @@
     location here;
     std::map<Common::endpoint_id, endpoint_state> endpoints;
     std::map<Common::service_name, reading_model> reading;
+    /// Lately observed ratio of actual to predicted time over all endpoints of a service: what other nodes send shows
+    /// only here, and a node meets each endpoint too seldom to learn it from that endpoint alone.
+    std::map<Common::service_name, double> pressure;
     Common::random_source random { 1 };
     placement_id lastPlacement;
 };
