Logs on standard output through a bounded ring; metrics on an address of their own

Change: lines wait in a ring for a thread that writes them in batches; 200 lines of a kind a second, with a count of what was left out; the directory's server answers /metrics on the last port between nodes.

--- a/Source/Filbertreeld/Main.cpp
+++ b/Source/Filbertreeld/Main.cpp
@@ -60,5 +60,6 @@
         leaving.join();
     }
     node.stop();
+    Common::flushLogs();
     return node.hasFailed() ? Filbertreeld::exitFailedToStart : Filbertreeld::exitOk;
 }
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -71,6 +71,7 @@
         made.listen = { facts.listen.readiness };
         if (!facts.listen.directory.empty() && facts.listen.directory != facts.listen.readiness)
             made.listen.push_back(facts.listen.directory);
+        made.listen.push_back(facts.ip + ":" + std::to_string(facts.lastPeerPort));
         made.addressLife = std::min(addressLife, facts.bounds.longestAddressLife);
         made.format = PlatformAdapter::makeQuestionFormat();
         return made;
@@ -373,8 +374,10 @@
     settings_source source { path ? path : "", {} };
     Common::startLogging("starting", Common::log_level::Info);
     const auto facts = readFacts(source);
-    if (!facts)
+    if (!facts) {
+        Common::flushLogs();
         return exitBadSettings;
+    }
     Common::startLogging(facts->node.value, Common::log_level::Info);
     platform_node node(*facts);
     node.start();
@@ -390,6 +393,7 @@
         node.leave();
     Common::logEvent(Common::log_level::Info, "node_stopped", { { "signal", signal }, { "failed", node.hasFailed() } });
     node.stop();
+    Common::flushLogs();
     return node.hasFailed() ? exitFailedToStart : exitOk;
 }
 
