--- /dev/null
+++ b/Tests/Platform/GatewayTest.cpp
@@ -0,0 +1,326 @@
+/// @file
+/// Requests through the gateway, with callers and endpoints that misbehave byte by byte.
+
+#include "Gateway/GatewayDuty.h"
+#include "Platform/ScriptedEndpoint.h"
+#include "platform/CallHeaders.h"
+
+#include <CppUTest/TestHarness.h>
+#include <chrono>
+#include <memory>
+
+namespace {
+
+using namespace PlatformTests;
+using std::chrono::milliseconds;
+
+const std::string sealedHead = "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.1\r\n";
+const std::string wholeAnswer = sealedHead + "Content-Length: 5\r\n\r\nhello";
+const std::string notRunAnswer = "HTTP/1.1 503 Service Unavailable\r\nX-Filbertreel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string failedAnswer = "HTTP/1.1 500 Oops\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.2\r\nContent-Length: 3\r\n\r\nbad";
+const std::string streamHead = sealedHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string& text)
+{
+    constexpr const char* digits = "0123456789abcdef";
+    std::string size;
+    for (size_t left = text.size(); left > 0; left /= 16)
+        size.insert(size.begin(), digits[left % 16]);
+    return size + "\r\n" + text + "\r\n";
+}
+
+Catalog::route makeRoute(const char* prefix, Catalog::route_kind kind, bool isResumable, uint32_t maxEndpoints)
+{
+    Catalog::route item;
+    item.name = { prefix };
+    item.host = "h.example";
+    item.prefix = prefix;
+    item.shares = { { { "s" }, 1 } };
+    item.kind = kind;
+    item.isResumable = isResumable;
+    item.maxEndpoints = maxEndpoints;
+    item.timeout = milliseconds(1500);
+    return item;
+}
+
+Catalog::catalog_pointer makeCatalog()
+{
+    auto made = std::make_shared<Catalog::catalog>();
+    made->version = 1;
+    made->routes = {
+        makeRoute("/once/", Catalog::route_kind::AtMostOnce, false, 2),
+        makeRoute("/idem/", Catalog::route_kind::Idempotent, false, 2),
+        makeRoute("/stream/", Catalog::route_kind::Stream, false, 1),
+        makeRoute("/resume/", Catalog::route_kind::Stream, true, 2),
+    };
+    Catalog::service service;
+    service.name = { "s" };
+    made->services.emplace(service.name, service);
+    Catalog::account account;
+    account.id = { "clerks" };
+    account.keys = { "k1" };
+    made->accounts.push_back(account);
+    Catalog::indexCatalog(*made);
+    return made;
+}
+
+/// A gateway on a port of its own, with endpoints behind it.
+struct running_gateway {
+    uint16_t port { findFreePort() };
+    std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    std::unique_ptr<Gateway::gateway_duty> duty;
+    std::thread thread;
+
+    explicit running_gateway(const std::vector<std::vector<scripted_answer>>& scripts, bool hasCatalog = true)
+    {
+        Gateway::gateway_settings settings;
+        settings.facts.listen.callers = "127.0.0.1:" + std::to_string(port);
+        settings.facts.zone = { "z" };
+        settings.facts.isFirstStart = true;
+        settings.wire = PlatformAdapter::makeWireFormat();
+        duty = std::make_unique<Gateway::gateway_duty>(settings, Gateway::gateway_outlets { [](Gateway::interval_report&&) {}, {} });
+        Gateway::endpoints_known known;
+        for (const auto& script : scripts) {
+            endpoints.push_back(std::make_unique<scripted_endpoint>(script));
+            Fleet::endpoint item;
+            item.id = { "e" + std::to_string(endpoints.size()) };
+            item.service = { "s" };
+            item.zone = { "z" };
+            item.address = endpoints.back()->address();
+            known.endpoints[item.id] = item;
+        }
+        if (hasCatalog)
+            static_cast<void>(duty->submit(Gateway::catalog_known { makeCatalog() }));
+        static_cast<void>(duty->submit(std::move(known)));
+        thread = std::thread([this] { duty->run(); });
+        waitUntilListening();
+    }
+
+    ~running_gateway()
+    {
+        duty->stop();
+        thread.join();
+    }
+
+    void waitUntilListening() const
+    {
+        for (int tries = 0; tries < 200; ++tries) {
+            try {
+                raw_caller probe(port);
+                return;
+            } catch (const std::exception&) {
+                std::this_thread::sleep_for(milliseconds(10));
+            }
+        }
+        FAIL("the gateway does not listen");
+    }
+
+    size_t arrivals() const
+    {
+        size_t count = 0;
+        for (const auto& endpoint : endpoints)
+            count += endpoint->requests().size();
+        return count;
+    }
+};
+
+std::string makeRequest(const std::string& target, const std::string& extraLines = "", const std::string& body = "body", const std::string& key = "k1")
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: h.example\r\nX-Filbertreel-Attempt-Id: id7\r\nX-Filbertreel-Time-Budget: 1200\r\nAuthorization: Bearer "
+        + key + "\r\n" + extraLines + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+int statusOf(const std::string& answer)
+{
+    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
+}
+
+} // namespace
+
+TEST_GROUP(PlatformGateway) {};
+
+TEST(PlatformGateway, ARequestIsPassedOnByteForByte)
+{
+    running_gateway gateway({ { { wholeAnswer, answer_end::Keep } } });
+    raw_caller caller(gateway.port);
+    caller.send(makeRequest("/once/a%2Fb/../c?x=1&&y=%20", "X-Filbertreel-Tenant: forged\r\nX-Filbertreel-Hold: h\r\nX-Free: 1\r\n", "b\r\n\0dy"));
+    const std::string answer = caller.receive();
+    CHECK_EQUAL(200, statusOf(answer));
+    CHECK(answer.ends_with("hello"));
+    const std::string request = gateway.endpoints[0]->requests().at(0);
+    CHECK(request.starts_with("POST /once/a%2Fb/../c?x=1&&y=%20 HTTP/1.1\r\n"));
+    CHECK(request.find("X-Filbertreel-Tenant: clerks\r\n") != std::string::npos);
+    CHECK(request.find("X-Filbertreel-Expect-Instance: e1\r\n") != std::string::npos);
+    CHECK(request.find("X-Free: 1\r\n") != std::string::npos);
+    for (const char* absent : { "forged", "X-Filbertreel-Hold", "Bearer", "k1" })
+        CHECK(request.find(absent) == std::string::npos);
+}
+
+TEST(PlatformGateway, AnswersTellTheTruthAboutWhatRan)
+{
+    struct row {
+        const char* what;
+        const char* target;
+        std::vector<scripted_answer> script; ///< Of the first endpoint that is asked, and then of the other.
+        int status;
+        size_t arrivals;
+    };
+    const row rows[] = {
+        { "no seal", "/once/x", { { "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: @ID@\r\nContent-Length: 2\r\n\r\nhi" } }, 502, 1 },
+        { "another request's answer", "/once/x", { { "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: other\r\nX-Filbertreel-Server-Seal: s\r\nContent-Length: 2\r\n\r\nhi" } }, 502, 1 },
+        { "no answer at all", "/once/x", { { "garbage\r\n\r\n", answer_end::Close } }, 502, 1 },
+        { "reset before an answer", "/once/x", { { "", answer_end::Reset } }, 502, 1 },
+        { "too short", "/once/x", { { sealedHead + "Content-Length: 9\r\n\r\nhello", answer_end::Close } }, 502, 1 },
+        { "no length, clean end", "/once/x", { { sealedHead + "\r\nhello", answer_end::Close } }, 200, 1 },
+        { "no length, reset", "/once/x", { { sealedHead + "\r\nhello", answer_end::Reset } }, 502, 1 },
+        { "the endpoint's own failure", "/once/x", { { failedAnswer } }, 500, 1 },
+        { "silence", "/once/x", { { "", answer_end::Wait } }, 504, 1 },
+        { "continue first", "/once/x", { { "HTTP/1.1 100 Continue\r\n\r\n" + wholeAnswer } }, 200, 1 },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ item.script });
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest(item.target));
+        CHECK_EQUAL_TEXT(item.status, statusOf(caller.receive()), item.what);
+        CHECK_EQUAL_TEXT(item.arrivals, gateway.arrivals(), item.what);
+    }
+}
+
+TEST(PlatformGateway, OnlyWhatMayRunTwiceGoesToASecondEndpoint)
+{
+    struct row {
+        const char* what;
+        const char* target;
+        scripted_answer first;
+        int status;
+        size_t arrivals;
+    };
+    const row rows[] = {
+        { "not run, at most once", "/once/x", { notRunAnswer }, 200, 2 },
+        { "reset, at most once", "/once/x", { "", answer_end::Reset }, 502, 1 },
+        { "reset, idempotent", "/idem/x", { "", answer_end::Reset }, 200, 2 },
+        { "failed, idempotent", "/idem/x", { failedAnswer }, 200, 2 },
+        { "failed, at most once", "/once/x", { failedAnswer }, 500, 1 },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { item.first, { wholeAnswer } }, { { wholeAnswer } } });
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest(item.target));
+        CHECK_EQUAL_TEXT(item.status, statusOf(caller.receive()), item.what);
+        CHECK_EQUAL_TEXT(item.arrivals, gateway.arrivals(), item.what);
+    }
+}
+
+TEST(PlatformGateway, StreamsAreWholeOrLookBroken)
+{
+    const std::string first = chunk("id: 1\ndata: a\n\n") + chunk("id: 2\nda");
+    const std::string rest = chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n";
+    struct row {
+        const char* what;
+        const char* target;
+        scripted_answer first;
+        scripted_answer second;
+        bool isWhole;
+        const char* text; ///< Must be in the answer.
+    };
+    const row rows[] = {
+        { "whole", "/stream/x", { streamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n" }, { "" }, true, "data: a" },
+        { "cut midway", "/stream/x", { streamHead + first, answer_end::Close }, { wholeAnswer }, false, "data: a" },
+        { "reset midway", "/stream/x", { streamHead + first, answer_end::Reset }, { wholeAnswer }, false, "" },
+        { "ends inside an event", "/stream/x", { streamHead + first + "0\r\n\r\n" }, { wholeAnswer }, false, "data: a" },
+        { "resumed", "/resume/x", { streamHead + first, answer_end::Close }, { streamHead + rest }, true, "data: c" },
+        { "resumed, and failed there", "/resume/x", { streamHead + first, answer_end::Close }, { failedAnswer }, false, "data: a" },
+        { "resumed, and refused there", "/resume/x", { streamHead + first, answer_end::Close }, { notRunAnswer }, false, "data: a" },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { item.first }, { item.second } });
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest(item.target));
+        const std::string answer = caller.receive();
+        CHECK_EQUAL_TEXT(item.isWhole, isWhole(answer), item.what);
+        CHECK_TEXT(answer.find(item.text) != std::string::npos, item.what);
+        if (std::string(item.what) != "resumed")
+            continue;
+        CHECK(gateway.endpoints[1]->requests().at(0).find("Last-Event-Id: 1\r\n") != std::string::npos);
+        CHECK_EQUAL(answer.find("data: b"), answer.rfind("data: b"));
+    }
+}
+
+TEST(PlatformGateway, RequestsThatAnotherParserMayReadOtherwiseGoNowhere)
+{
+    const std::string hidden = "POST /once/hidden HTTP/1.1\r\nHost: h.example\r\nX-Filbertreel-Attempt-Id: id9\r\n\r\n";
+    struct row {
+        const char* what;
+        std::string bytes;
+    };
+    const row rows[] = {
+        { "both lengths", "POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden },
+        { "two lengths", "POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nContent-Length: 90\r\n\r\nbody" + hidden },
+        { "unknown coding", "POST /once/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: xchunked\r\n\r\n" + hidden },
+        { "bare line feeds", "POST /once/x HTTP/1.1\nHost: h.example\nContent-Length: 0\n\n" },
+        { "space before the colon", "POST /once/x HTTP/1.1\r\nHost : h.example\r\nContent-Length: 0\r\n\r\n" },
+        { "no host", "POST /once/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n" },
+        { "two hosts", "POST /once/x HTTP/1.1\r\nHost: h.example\r\nHost: g.example\r\nContent-Length: 0\r\n\r\n" },
+        { "no path", "POST h.example HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n" },
+        { "nonsense", "\x16\x03\x01 nonsense\r\n\r\n" },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { { wholeAnswer } } });
+        raw_caller caller(gateway.port);
+        caller.send(item.bytes);
+        CHECK_EQUAL_TEXT(400, statusOf(caller.receive()), item.what);
+        CHECK_EQUAL_TEXT(0, gateway.arrivals(), item.what);
+    }
+}
+
+TEST(PlatformGateway, RefusalsSayWhy)
+{
+    struct row {
+        const char* what;
+        std::string bytes;
+        bool hasCatalog;
+        int status;
+    };
+    const row rows[] = {
+        { "unknown key", makeRequest("/once/x", "", "body", "k9"), true, 401 },
+        { "unknown route", makeRequest("/none/x"), true, 404 },
+        { "no catalog yet", makeRequest("/once/x"), false, 503 },
+        { "too long a head", makeRequest("/once/x", "X-Long: " + std::string(20000, 'x') + "\r\n"), true, 431 },
+        { "too long a body", "POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999\r\n\r\n", true, 413 },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { { wholeAnswer } } }, item.hasCatalog);
+        raw_caller caller(gateway.port);
+        caller.send(item.bytes);
+        const std::string answer = caller.receive();
+        CHECK_EQUAL_TEXT(item.status, statusOf(answer), item.what);
+        CHECK_EQUAL_TEXT(item.status == 503, answer.find("Retry-After") != std::string::npos, item.what);
+        CHECK_EQUAL_TEXT(0, gateway.arrivals(), item.what);
+    }
+}
+
+TEST(PlatformGateway, ACallersCloseReachesTheEndpoint)
+{
+    for (const char* target : { "/once/x", "/stream/x" }) {
+        running_gateway gateway({ { { "", answer_end::Wait } } });
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest(target));
+        while (gateway.arrivals() == 0)
+            std::this_thread::sleep_for(milliseconds(5));
+        caller.close();
+        for (int tries = 0; tries < 100 && gateway.endpoints[0]->abandoned() == 0; ++tries)
+            std::this_thread::sleep_for(milliseconds(10));
+        CHECK_EQUAL(1, gateway.endpoints[0]->abandoned());
+    }
+}
+
+TEST(PlatformGateway, BytesBehindAWholeAnswerBelongToNoRequest)
+{
+    const std::string stray = "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: id7\r\nX-Filbertreel-Server-Seal: s\r\nContent-Length: 5\r\n\r\nstray";
+    running_gateway gateway({ { { wholeAnswer + stray, answer_end::Keep } } });
+    for (int request = 0; request < 3; ++request) {
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest("/idem/x"));
+        CHECK(caller.receive().ends_with("hello"));
+    }
+}
--- /dev/null
+++ b/Tests/Platform/ScriptedEndpoint.cpp
@@ -0,0 +1,186 @@
+#include "Platform/ScriptedEndpoint.h"
+
+#include <array>
+#include <chrono>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace PlatformTests {
+
+namespace {
+
+    using boost::asio::ip::tcp;
+    using boost::system::error_code;
+
+    constexpr int pollMilliseconds = 20;
+    constexpr auto longestRead = std::chrono::seconds(2);
+
+    bool isReadable(tcp::socket& socket)
+    {
+        pollfd waiting { socket.native_handle(), POLLIN, 0 };
+        return poll(&waiting, 1, pollMilliseconds) > 0;
+    }
+
+    std::string valueOf(const std::string& head, const std::string& name)
+    {
+        const size_t start = head.find("\r\n" + name + ": ");
+        if (start == std::string::npos)
+            return {};
+        const size_t value = start + name.size() + 4;
+        return head.substr(value, head.find("\r\n", value) - value);
+    }
+
+    /// @return the size of a message with its body, or zero while its head is not complete.
+    size_t messageSize(const std::string& bytes)
+    {
+        const size_t end = bytes.find("\r\n\r\n");
+        if (end == std::string::npos)
+            return 0;
+        const std::string length = valueOf(bytes.substr(0, end + 2), "Content-Length");
+        return end + 4 + (length.empty() ? 0 : std::stoul(length));
+    }
+
+} // namespace
+
+scripted_endpoint::scripted_endpoint(std::vector<scripted_answer> answers)
+    : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    , m_answers(std::move(answers))
+    , m_thread([this] { serve(); })
+{
+}
+
+scripted_endpoint::~scripted_endpoint()
+{
+    m_isStopping = true;
+    m_thread.join();
+    for (std::thread& connection : m_connections)
+        connection.join();
+}
+
+std::string scripted_endpoint::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+}
+
+std::vector<std::string> scripted_endpoint::requests() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_requests;
+}
+
+int scripted_endpoint::abandoned() const
+{
+    return m_abandoned;
+}
+
+void scripted_endpoint::serve()
+{
+    m_acceptor.non_blocking(true);
+    while (!m_isStopping) {
+        pollfd waiting { m_acceptor.native_handle(), POLLIN, 0 };
+        if (poll(&waiting, 1, pollMilliseconds) <= 0)
+            continue;
+        error_code error;
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (error)
+            continue;
+        socket.non_blocking(false);
+        m_connections.emplace_back([this, socket = std::move(socket)]() mutable { serveConnection(std::move(socket)); });
+    }
+}
+
+scripted_answer scripted_endpoint::nextAnswer(const std::string& request)
+{
+    const std::lock_guard guard(m_mutex);
+    m_requests.push_back(request);
+    scripted_answer answer = m_answers[std::min(m_requests.size(), m_answers.size()) - 1];
+    const std::string id = valueOf(request, "X-Filbertreel-Attempt-Id");
+    for (size_t found = answer.bytes.find("@ID@"); found != std::string::npos; found = answer.bytes.find("@ID@"))
+        answer.bytes.replace(found, 4, id);
+    return answer;
+}
+
+void scripted_endpoint::serveConnection(tcp::socket socket)
+{
+    std::string received;
+    std::array<char, 4096> buffer {};
+    bool isWaiting = false;
+    while (!m_isStopping) {
+        if (!isReadable(socket))
+            continue;
+        error_code error;
+        const size_t size = socket.read_some(boost::asio::buffer(buffer), error);
+        if (error) {
+            m_abandoned += isWaiting ? 1 : 0;
+            return;
+        }
+        received.append(buffer.data(), size);
+        const size_t message = messageSize(received);
+        if (message == 0 || received.size() < message)
+            continue;
+        const scripted_answer answer = nextAnswer(received.substr(0, message));
+        received.erase(0, message);
+        boost::asio::write(socket, boost::asio::buffer(answer.bytes), error);
+        if (answer.end == answer_end::Reset)
+            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        if (answer.end == answer_end::Reset || answer.end == answer_end::Close)
+            return socket.close();
+        isWaiting = answer.end == answer_end::Wait;
+    }
+}
+
+raw_caller::raw_caller(uint16_t port)
+    : m_socket(m_context)
+{
+    m_socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+}
+
+void raw_caller::send(const std::string& bytes)
+{
+    boost::asio::write(m_socket, boost::asio::buffer(bytes));
+}
+
+std::string raw_caller::receive()
+{
+    const auto until = std::chrono::steady_clock::now() + longestRead;
+    std::string received;
+    std::array<char, 4096> buffer {};
+    while (std::chrono::steady_clock::now() < until && !isWhole(received)) {
+        if (!isReadable(m_socket))
+            continue;
+        error_code error;
+        const size_t size = m_socket.read_some(boost::asio::buffer(buffer), error);
+        received.append(buffer.data(), size);
+        if (error)
+            break;
+    }
+    return received;
+}
+
+void raw_caller::close()
+{
+    m_socket.close();
+}
+
+uint16_t findFreePort()
+{
+    boost::asio::io_context context;
+    const tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+bool isWhole(const std::string& answer)
+{
+    const size_t end = answer.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return false;
+    if (answer.find("Transfer-Encoding: chunked") < end)
+        return answer.ends_with("0\r\n\r\n");
+    return answer.size() >= messageSize(answer);
+}
+
+} // namespace PlatformTests
