--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -39,7 +39,7 @@
     constexpr size_t nodesPerStretch = 20;
     constexpr const char* nodeTable = "nodes";
     /// This node's counts of an unfinished window are written at this interval, for the case that it is killed.
-    constexpr milliseconds countWriteInterval { 2000 };
+    constexpr milliseconds countWriteInterval { 1000 };
     /// After the end of a window its counts are written within this time.
     constexpr milliseconds lastCountDelay { 400 };
     constexpr milliseconds registerPause { 300 };
