--- a/Source/Filbertreel/Main.cpp
+++ b/Source/Filbertreel/Main.cpp
@@ -3,6 +3,7 @@
 
 #include "Configuration/Secret.h"
 #include "Filbertreel/Client.h"
+#include "Filbertreel/ExplainLog.h"
 #include "Filbertreel/Print.h"
 
 #include <algorithm>
@@ -232,10 +233,28 @@
     });
 }
 
+/// Explains a request from the nodes' logs; unlike all other commands it needs no node.
+int runExplainLog(int argc, char** argv)
+{
+    std::string request;
+    std::vector<std::string> paths { "-" };
+    CLI::App app { "What the logs of the nodes say of one request, and of what its node believed then" };
+    app.add_option("--request", request, "The request's id")->required();
+    app.add_option("files", paths, "Logs of the nodes; - is the standard input");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? Filbertreel::exitOk : Filbertreel::exitBadUsage;
+    }
+    return Filbertreel::explainLog(request, paths, std::cout);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
+    if (argc > 1 && std::string_view(argv[1]) == "explain-log")
+        return runExplainLog(argc - 1, argv + 1);
     command_options options;
     int code = Filbertreel::exitOk;
     CLI::App app { "filbertreel: the operators' command. Exit codes: 0 done, 1 refused, 2 bad usage, 3 no node reached, 4 outcome unknown." };
