Control and gateway duties split by job; a restarted node no longer overwrites its counts

Cause: reading the split showed that a node's row of counts was named by node and window alone: a process that starts again within a window replaced the counts of the one before. Change: the row's key bears the incarnation (test first: the keys were equal); usage, orders and the shared client of the control duty in files of their own, outcomes and logs of the gateway too.

--- /dev/null
+++ b/Source/Core/Control/ControlContext.cpp
@@ -0,0 +1,64 @@
+#include "Control/ControlContext.h"
+
+#include "Common/BootClock.h"
+#include "Common/Metrics.h"
+
+#include <algorithm>
+
+namespace Control {
+
+namespace {
+
+    constexpr size_t nodesPerStretch = 20;
+
+} // namespace
+
+milliseconds stretched(milliseconds interval, size_t nodes)
+{
+    return interval * std::max<int64_t>(1, static_cast<int64_t>((nodes + nodesPerStretch - 1) / nodesPerStretch));
+}
+
+void control_context::call(Http::outgoing_request&& request, answer_handler onAnswer)
+{
+    Common::countMetric("filbertreel_store_calls_total");
+    client.start(std::move(request), [this, onAnswer = std::move(onAnswer)](Http::transfer_answer&& answer) {
+        const Store::rows_answer parsed = settings.calls.storeAnswer(answer);
+        if (parsed.outcome == Store::call_outcome::Done && parsed.now.value > 0)
+            storeClock = store_reading { parsed.now, Common::bootClockNow() };
+        if (parsed.outcome != Store::call_outcome::Done)
+            Common::countMetric("filbertreel_store_calls_failed_total");
+        onAnswer(parsed);
+    });
+}
+
+void control_context::commit(const Store::transaction& item, answer_handler onAnswer)
+{
+    call(settings.calls.transaction(storeAddress(), item), std::move(onAnswer));
+}
+
+const std::string& control_context::storeAddress() const
+{
+    return settings.facts.store.address;
+}
+
+Scaling::order_giver control_context::giver() const
+{
+    return { settings.self.node, lease.fence.value };
+}
+
+std::optional<Usage::true_time> control_context::trueTime(Common::instant now) const
+{
+    if (!storeClock)
+        return {};
+    std::vector<int64_t> offsets;
+    for (const auto& [id, item] : nodes) {
+        if (item.clockOffset)
+            offsets.push_back(*item.clockOffset);
+    }
+    const auto offset = medianOffset(std::move(offsets));
+    if (!offset)
+        return {};
+    return trueTimeAt(*storeClock, *offset, now);
+}
+
+} // namespace Control
--- /dev/null
+++ b/Source/Core/Control/EndpointOrders.cpp
@@ -0,0 +1,71 @@
+#include "Control/EndpointOrders.h"
+
+#include "Common/BootClock.h"
+#include "Common/Log.h"
+
+namespace Control {
+
+namespace {
+
+    constexpr milliseconds planInterval { 300 };
+    constexpr size_t loggedAnswerBytes = 100;
+
+    void logPlan(const endpoint_orders& item, Common::instant now)
+    {
+        nlohmann::json numbers = nlohmann::json::object();
+        for (const auto& [subject, count] : item.memory.wanted)
+            numbers[subject.zone.value + (subject.isReclaimable ? "/reclaimable" : "/plain")] = count;
+        nlohmann::json busy = nlohmann::json::object();
+        for (const auto& [name, nodes] : item.demand.services) {
+            for (const auto& [zone, level] : Scaling::demandByZone(item.demand, name, now))
+                busy[name.value + "/" + zone.value] = level.value;
+        }
+        Common::logEvent(Common::log_level::Info, "endpoints_planned", { { "wanted", std::move(numbers) }, { "busy_engines", std::move(busy) } });
+    }
+
+    void planAll(endpoint_orders& item, Common::instant now)
+    {
+        Scaling::wanted_map wanted;
+        for (const auto& [name, service] : item.context.catalog->services) {
+            if (!service.scaling)
+                continue;
+            Scaling::plan_input input;
+            input.demand = Scaling::demandByZone(item.demand, name, now);
+            input.supply = Scaling::countSupply(item.context.endpoints.endpoints, name);
+            input.exhausted = Scaling::exhaustedZones(item.orders, name, now);
+            wanted.merge(Scaling::planEndpoints(service, input));
+        }
+        const Scaling::wanted_map before = item.memory.wanted;
+        if (Scaling::steady(item.memory, wanted, now) != before)
+            logPlan(item, now);
+    }
+
+    void takeOrderAnswer(endpoint_orders& item, const Scaling::order& order, const Http::transfer_answer& answer)
+    {
+        const Scaling::order_outcome outcome = item.context.settings.calls.dutyAnswer(answer);
+        Common::logEvent(Common::log_level::Info, "endpoints_ordered", { { "service", order.service.value }, { "zone", order.zone.value }, { "reclaimable", order.isReclaimable }, { "desired", order.desired }, { "status", answer.status }, { "answer", answer.body.substr(0, loggedAnswerBytes) } });
+        // An order of unknown fate may be carried out later: the next one needs a higher token to prevail.
+        if (outcome == Scaling::order_outcome::Fenced || outcome == Scaling::order_outcome::Unknown)
+            Lease::raiseFence(item.context.lease, Common::bootClockNow());
+        Scaling::takeOutcome(item.orders, outcome, Common::bootClockNow());
+    }
+
+} // namespace
+
+void orderEndpoints(endpoint_orders& item, Common::instant now)
+{
+    control_context& context = item.context;
+    if (!context.catalog || !context.settings.facts.cloud.wantsScaling)
+        return;
+    if (now >= item.nextPlan) {
+        item.nextPlan = now + planInterval;
+        planAll(item, now);
+    }
+    const auto order = Scaling::nextOrder(item.orders, item.memory.wanted, now);
+    if (!order)
+        return;
+    context.client.start(context.settings.calls.order(context.settings.facts.cloud.address, context.giver(), *order),
+        [&item, order](const Http::transfer_answer& answer) { takeOrderAnswer(item, *order, answer); });
+}
+
+} // namespace Control
--- /dev/null
+++ b/Source/Core/Control/EndpointOrders.h
@@ -0,0 +1,22 @@
+#pragma once
+
+/// @file
+/// Orders of endpoints by the holder of the lease.
+
+#include "Control/ControlContext.h"
+#include "Scaling/Plan.h"
+
+namespace Control {
+
+struct endpoint_orders {
+    control_context& context;
+    Scaling::demand_book demand {};
+    Scaling::plan_memory memory {};
+    Scaling::order_book orders {};
+    Common::instant nextPlan {};
+};
+
+/// Plans anew when it is time, and gives the next order; only the holder of the lease may.
+void orderEndpoints(endpoint_orders& item, Common::instant now);
+
+} // namespace Control
--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -28,7 +28,7 @@
 
 Store::row makeCounts(Usage::window_number window, const char* node, uint64_t count)
 {
-    return { countRow(window, { node }), Usage::encodeCounts({ { { "clerks" }, count } }), { 1 }, false };
+    return { countRow(window, { node }, { 1 }), Usage::encodeCounts({ { { "clerks" }, count } }), { 1 }, false };
 }
 
 template <typename step_type>
@@ -61,6 +61,20 @@
     CHECK(!nextStep(reporter, { now }, at(now)).has_value());
 }
 
+TEST(UsageReporter, ANodeThatStartsAgainDoesNotOverwriteItsEarlierCounts)
+{
+    const Usage::window_number window { 100 };
+    CHECK(countRow(window, { "a" }, { 1 }) != countRow(window, { "a" }, { 2 }));
+    usage_reporter reporter;
+    reporter.lastBegun = Usage::window_number { 99 };
+    const auto read = expectStep<read_counts>(reporter, 101 * windowMs + 2700);
+    for (const uint64_t incarnation : { 1U, 2U }) {
+        const std::string key = countRow(window, { "a" }, { incarnation }).key;
+        CHECK(key >= read.rows.from);
+        CHECK(key < read.rows.to);
+    }
+}
+
 TEST(UsageReporter, AnEarlierHoldersReportGoesFirst)
 {
     usage_reporter reporter;
--- a/Source/Core/Control/UsageReporter.cpp
+++ b/Source/Core/Control/UsageReporter.cpp
@@ -65,9 +65,9 @@
 
 } // namespace
 
-Store::row_name countRow(Usage::window_number window, const Common::node_id& node)
+Store::row_name countRow(Usage::window_number window, const Common::node_id& node, Common::incarnation_number incarnation)
 {
-    return { countTable, "", windowKey(window) + "/" + node.value };
+    return { countTable, "", fmt::format("{}/{}.{}", windowKey(window), node.value, incarnation.value) };
 }
 
 std::optional<usage_step> nextStep(usage_reporter& reporter, Usage::true_time trueNow, Common::instant now)
--- a/Source/Core/Control/UsageReporter.h
+++ b/Source/Core/Control/UsageReporter.h
@@ -58,8 +58,9 @@
 
 using usage_step = std::variant<read_counts, record_report, send_report>;
 
-/// The row that a node writes its counts of a window to.
-Store::row_name countRow(Usage::window_number window, const Common::node_id& node);
+/// The row that a process writes its counts of a window to. A node that starts again counts from zero: its rows are kept
+/// apart from those of its earlier process.
+Store::row_name countRow(Usage::window_number window, const Common::node_id& node, Common::incarnation_number incarnation);
 
 /// @param reporter of the lease's holder; a step that is returned counts as under way.
 /// @param now true time, and the local clock.
--- /dev/null
+++ b/Source/Core/Gateway/AttemptOutcome.cpp
@@ -0,0 +1,83 @@
+#include "Gateway/AttemptOutcome.h"
+
+namespace Gateway {
+
+namespace {
+
+    constexpr int successClass = 2;
+    constexpr int serverFailureClass = 5;
+    constexpr int statusesPerClass = 100;
+    constexpr int misdirectedStatus = 421;
+
+    bool isLate(const call& item, Common::instant now)
+    {
+        const double ms = item.progress.hasHeadSent ? item.firstByteMs : toMs(now - item.arrived);
+        return item.route->target.count() > 0 && ms > toMs(item.route->target);
+    }
+
+} // namespace
+
+double toMs(Common::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+bool isSuccess(int status)
+{
+    return status / statusesPerClass == successClass;
+}
+
+attempt_end classify(const call& item, exchange_end end)
+{
+    const attempt& current = *item.current;
+    if (end == exchange_end::NotSent)
+        return attempt_end::NotSent;
+    // A whole stream whose last event is cut short is no whole answer.
+    const bool endsInsideEvent = current.hasEvents && !item.events.partial.empty();
+    if (end == exchange_end::Broken || endsInsideEvent)
+        return attempt_end::Broken;
+    if (current.answer.hasNotRun || current.status == misdirectedStatus)
+        return attempt_end::NotRun;
+    if (!current.answer.isSealed)
+        return attempt_end::Broken;
+    // Only events can go on with an answer that has begun.
+    if (item.progress.hasHeadSent && !current.hasEvents)
+        return attempt_end::Failed;
+    return current.status / statusesPerClass == serverFailureClass ? attempt_end::Failed : attempt_end::Answered;
+}
+
+Scheduling::placement_end placementEndOf(attempt_end outcome)
+{
+    switch (outcome) {
+    case attempt_end::NotSent:
+        return Scheduling::placement_end::Unreachable;
+    case attempt_end::NotRun:
+        return Scheduling::placement_end::NotRun;
+    case attempt_end::Answered:
+        return Scheduling::placement_end::Served;
+    case attempt_end::Failed:
+    case attempt_end::Broken:
+        return Scheduling::placement_end::Failed;
+    case attempt_end::TimedOut:
+        return Scheduling::placement_end::Abandoned;
+    }
+    return Scheduling::placement_end::Abandoned;
+}
+
+attempt_seen::event seenEventOf(const call& item, attempt_end outcome, Common::instant now)
+{
+    switch (outcome) {
+    case attempt_end::Answered:
+        return isLate(item, now) ? attempt_seen::event::Late : attempt_seen::event::Good;
+    case attempt_end::Failed:
+    case attempt_end::Broken:
+    case attempt_end::TimedOut:
+        return attempt_seen::event::Failed;
+    case attempt_end::NotSent:
+    case attempt_end::NotRun:
+        return attempt_seen::event::Abandoned;
+    }
+    return attempt_seen::event::Abandoned;
+}
+
+} // namespace Gateway
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -25,7 +25,7 @@
     constexpr int noContentStatus = 204;
     constexpr int notModifiedStatus = 304;
     /// A caller that reads nothing while so much waits for it is given up.
-    constexpr size_t outboxLimitBytes = 4U * 1024 * 1024;
+    constexpr size_t outboxLimitBytes = size_t { 4 } * 1024 * 1024;
     /// A body of the largest size over the slowest link of the deployments takes less.
     constexpr std::chrono::milliseconds bodyTimeLimit { 20000 };
     /// How long a closing side waits for the other's close, so that unread bytes do not reset the connection.
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -3,7 +3,9 @@
 #include "Common/Log.h"
 #include "Common/Metrics.h"
 #include "Common/Text.h"
+#include "Gateway/AttemptOutcome.h"
 #include "Gateway/Call.h"
+#include "Gateway/CallLog.h"
 #include "Gateway/ChannelPool.h"
 #include "Limits/RepeatBudget.h"
 
@@ -50,16 +52,8 @@
     constexpr milliseconds assumedPlainTime { 150 };
     constexpr milliseconds assumedFirstEventTime { 600 };
     constexpr double assumedMsPerOutputToken = 20;
-    constexpr int successClass = 2;
-    constexpr int serverFailureClass = 5;
-    constexpr int statusesPerClass = 100;
     constexpr uint32_t mostUrgency = 9;
 
-    double toMs(Common::duration time)
-    {
-        return std::chrono::duration<double, std::milli>(time).count();
-    }
-
     Common::instant clockNow()
     {
         return std::chrono::steady_clock::now();
@@ -82,27 +76,6 @@
         return fmt::format("{{\"error\":\"{}\"}}", error);
     }
 
-    std::string writeRequest(const call& item, const std::vector<Http::header>& lines)
-    {
-        std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", item.request.method, item.request.target);
-        for (const Http::header& line : lines) {
-            bytes += line.name;
-            bytes += ": ";
-            bytes += line.value;
-            bytes += "\r\n";
-        }
-        if (!item.request.body.empty() || item.request.method == "POST" || item.request.method == "PUT")
-            bytes += fmt::format("Content-Length: {}\r\n", item.request.body.size());
-        bytes += "\r\n";
-        bytes += item.request.body;
-        return bytes;
-    }
-
-    bool isSuccess(int status)
-    {
-        return status / statusesPerClass == successClass;
-    }
-
 } // namespace
 
 struct gateway_duty::implementation {
@@ -392,32 +365,11 @@
             interval.begun.push_back({ item.account, now });
     }
 
-    attempt_end classify(const call& item, exchange_end end) const
-    {
-        const attempt& current = *item.current;
-        if (end == exchange_end::NotSent)
-            return attempt_end::NotSent;
-        if (end == exchange_end::Broken)
-            return attempt_end::Broken;
-        constexpr int misdirectedStatus = 421;
-        if (current.answer.hasNotRun || current.status == misdirectedStatus)
-            return attempt_end::NotRun;
-        if (!current.answer.isSealed)
-            return attempt_end::Broken;
-        // Only events can go on with an answer that has begun.
-        if (item.progress.hasHeadSent && !current.hasEvents)
-            return attempt_end::Failed;
-        return current.status / statusesPerClass == serverFailureClass ? attempt_end::Failed : attempt_end::Answered;
-    }
-
     void takeEnd(call& item, exchange_end end, bool isReusable)
     {
         attempt& current = *item.current;
         if (isReusable)
             channels.giveBack(current.where.address, current.channel, current.answer.keepAlive);
-        // A whole stream whose last event is cut short is no whole answer.
-        if (end == exchange_end::Complete && current.hasEvents && !item.events.partial.empty())
-            end = exchange_end::Broken;
         const attempt_end outcome = classify(item, end);
         if (outcome != attempt_end::NotSent && outcome != attempt_end::NotRun && !current.hasBegun)
             noteBegun(item);
@@ -430,53 +382,13 @@
         attempt& current = *item.current;
         Scheduling::noteEnded(scheduler, current.where.endpoint, current.where.id, placementEndOf(outcome), clockNow());
         Common::countMetric(fmt::format("filbertreel_attempts_total{{service=\"{}\",end=\"{}\"}}", item.service.value, nameOf(outcome)));
-        observe(item, seenEventOf(item, outcome));
+        observe(item, seenEventOf(item, outcome, clockNow()));
         if (outcome == attempt_end::NotSent || outcome == attempt_end::NotRun)
             ++item.progress.refusals;
         else
             ++item.progress.endpointsRun;
     }
 
-    static Scheduling::placement_end placementEndOf(attempt_end outcome)
-    {
-        switch (outcome) {
-        case attempt_end::NotSent:
-            return Scheduling::placement_end::Unreachable;
-        case attempt_end::NotRun:
-            return Scheduling::placement_end::NotRun;
-        case attempt_end::Answered:
-            return Scheduling::placement_end::Served;
-        case attempt_end::Failed:
-        case attempt_end::Broken:
-            return Scheduling::placement_end::Failed;
-        case attempt_end::TimedOut:
-            return Scheduling::placement_end::Abandoned;
-        }
-        return Scheduling::placement_end::Abandoned;
-    }
-
-    static bool isLate(const call& item)
-    {
-        const double ms = item.progress.hasHeadSent ? item.firstByteMs : toMs(clockNow() - item.arrived);
-        return item.route->target.count() > 0 && ms > toMs(item.route->target);
-    }
-
-    attempt_seen::event seenEventOf(const call& item, attempt_end outcome) const
-    {
-        switch (outcome) {
-        case attempt_end::Answered:
-            return isLate(item) ? attempt_seen::event::Late : attempt_seen::event::Good;
-        case attempt_end::Failed:
-        case attempt_end::Broken:
-        case attempt_end::TimedOut:
-            return attempt_seen::event::Failed;
-        case attempt_end::NotSent:
-        case attempt_end::NotRun:
-            return attempt_seen::event::Abandoned;
-        }
-        return attempt_seen::event::Abandoned;
-    }
-
     void observe(const call& item, attempt_seen::event what) const
     {
         if (outlets.attemptSeen && versionShares.contains(item.service))
@@ -591,7 +503,7 @@
 
     void finish(call& item, std::string_view outcome, int status)
     {
-        logEnd(item, outcome, status);
+        logEnd(item, outcome, status, clockNow());
         if (item.route)
             Common::countMetric(fmt::format("filbertreel_requests_total{{route=\"{}\",outcome=\"{}\"}}", item.route->name.value, outcome));
         if (item.firstByteMs > 0)
@@ -606,36 +518,6 @@
         return found != calls.end() && found->second->id == id ? found->second.get() : nullptr;
     }
 
-    // --- Logs
-
-    void logAttempt(const call& item, attempt_end outcome) const
-    {
-        Common::logEvent(Common::log_level::Info, "attempt_repeated", { { "request", item.facts.attemptId }, { "end", nameOf(outcome) }, { "endpoint", item.current->where.endpoint.value }, { "status", item.current->status }, { "sends", item.sends } });
-    }
-
-    void logEnd(const call& item, std::string_view outcome, int status) const
-    {
-        nlohmann::json fields { { "request", item.facts.attemptId }, { "outcome", outcome }, { "status", status }, { "ms", std::llround(toMs(clockNow() - item.arrived)) } };
-        fields["catalog"] = item.catalog ? item.catalog->version : 0;
-        if (item.route)
-            fields["route"] = item.route->name.value;
-        if (!item.account.value.empty())
-            fields["account"] = item.account.value;
-        if (item.facts.timeBudget)
-            fields["budget_ms"] = item.facts.timeBudget->count();
-        if (item.firstByteMs > 0)
-            fields["first_ms"] = std::llround(item.firstByteMs);
-        if (item.current) {
-            fields["endpoint"] = item.current->where.endpoint.value;
-            fields["predicted_ms"] = std::llround(item.current->where.predictedMs);
-            fields["fresh_tokens"] = std::llround(item.current->where.freshTokens);
-            fields["sends"] = item.sends;
-        }
-        if (item.facts.model)
-            fields["prompt_tokens"] = item.facts.model->promptTokens;
-        Common::logEvent(Common::log_level::Info, "request_ended", std::move(fields));
-    }
-
     // --- What other duties tell
 
     void takeMessages()
