An endpoint that did not come back after the store's return goes in time

Ruled out: load; the store's feed (its answer held the removal).

Change: entries whose time to return is over are dropped by the clock (FleetTest AnEntryThatDoesNotComeBackGoesWithoutAnotherListing, red before).

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -40,7 +40,6 @@
     constexpr uint64_t nonceBits = 48;
     constexpr milliseconds rolloutTickInterval { 200 };
 
-
 } // namespace
 
 struct control_duty::implementation {
@@ -193,6 +192,15 @@
         outlets.tellGateway(Gateway::endpoints_known { context.endpoints.endpoints });
     }
 
+    void dropMissingEndpoints(Common::instant now)
+    {
+        const auto changes = Fleet::dropMissing(context.endpoints, now);
+        for (const Fleet::endpoint_change& change : changes)
+            tellEndpointChange(change, "not_returned");
+        if (!changes.empty())
+            outlets.tellGateway(Gateway::endpoints_known { context.endpoints.endpoints });
+    }
+
     void tellEndpointChange(const Fleet::endpoint_change& change, const char* source)
     {
         Common::logEvent(Common::log_level::Info, "endpoint_changed", { { "endpoint", change.item.id.value }, { "change", Fleet::nameOf(change.kind) }, { "service", change.item.service.value }, { "zone", change.item.zone.value }, { "reclaimable", change.item.isReclaimable }, { "version", change.item.version.value }, { "source", source }, { "row_version", endpointWatch.newest.value } });
@@ -408,6 +416,7 @@
         if (isActive(rollouts))
             follow(statusWatch, &implementation::statusRowsChanged);
         tickRollouts(now);
+        dropMissingEndpoints(now);
         registerSelf(now);
         countBegun(usage, now);
         writeCounts(usage, now);
--- a/Source/Core/Fleet/EndpointBook.cpp
+++ b/Source/Core/Fleet/EndpointBook.cpp
@@ -65,6 +65,23 @@
     return changes;
 }
 
+std::vector<endpoint_change> dropMissing(endpoint_book& book, Common::instant now)
+{
+    std::vector<endpoint_change> changes;
+    if (now < book.toleratesMissingUntil)
+        return changes;
+    for (const auto& [id, since] : book.missingSince) {
+        const auto known = book.endpoints.find(id);
+        if (known == book.endpoints.end())
+            continue;
+        changes.push_back({ change_kind::Disappeared, known->second });
+        book.leaving.erase(id);
+        book.endpoints.erase(known);
+    }
+    book.missingSince.clear();
+    return changes;
+}
+
 void noteStoreReturned(endpoint_book& book, Common::instant now)
 {
     book.toleratesMissingUntil = now + entriesReturnWithin;
--- a/Source/Core/Fleet/EndpointBook.h
+++ b/Source/Core/Fleet/EndpointBook.h
@@ -78,6 +78,10 @@
 /// The store answers again after an outage.
 void noteStoreReturned(endpoint_book& book, Common::instant now);
 
+/// Takes entries that did not come back as gone, once the time for that is over; no new listing need tell it.
+/// @return what changed.
+std::vector<endpoint_change> dropMissing(endpoint_book& book, Common::instant now);
+
 /// Someone else says that an endpoint leaves: a peer, or the endpoint itself.
 /// @return the change, when it is news.
 std::optional<endpoint_change> noteLeaving(endpoint_book& book, const Common::endpoint_id& id, start_time started);
--- a/Source/Core/Fleet/Tests/FleetTest.cpp
+++ b/Source/Core/Fleet/Tests/FleetTest.cpp
@@ -92,6 +92,21 @@
     CHECK(late.front().kind == change_kind::Disappeared);
 }
 
+TEST(EndpointBook, AnEntryThatDoesNotComeBackGoesWithoutAnotherListing)
+{
+    // Guild, trouble-1, seed 83990687783: an entry was removed just after the store's return, and nothing else changed.
+    endpoint_book book;
+    applyListing(book, { { makeEndpoint("e", 1), makeEndpoint("f", 1) } }, at(0));
+    noteStoreReturned(book, at(1000));
+    CHECK(applyListing(book, { { makeEndpoint("f", 1) } }, at(1600)).empty());
+    CHECK(dropMissing(book, at(1700)).empty());
+    const auto gone = dropMissing(book, at(1000) + entriesReturnWithin);
+    CHECK_EQUAL(1, gone.size());
+    STRCMP_EQUAL("e", gone.front().item.id.value.c_str());
+    CHECK_EQUAL(1, book.endpoints.size());
+    CHECK(dropMissing(book, at(9000)).empty());
+}
+
 TEST_GROUP(Directory) {};
 
 TEST(Directory, CallersAreSentToNodesNearThem)
