--- /dev/null
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -0,0 +1,170 @@
+#include "Platform/StoreStandIn.h"
+
+#include "Platform/ScriptedEndpoint.h"
+#include "platform/Base64.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace PlatformTests {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr int okStatus = 200;
+    constexpr int goneStatus = 410;
+    constexpr int conditionStatus = 412;
+    constexpr int busyStatus = 503;
+    /// A feed with nothing to tell is answered after this part of its wait at most.
+    constexpr std::chrono::milliseconds feedWait { 100 };
+
+    Http::server_settings makeSettings(uint16_t port)
+    {
+        Http::server_settings settings;
+        settings.port = port;
+        return settings;
+    }
+
+    std::string decodePercent(const std::string& text)
+    {
+        std::string decoded;
+        for (size_t index = 0; index < text.size(); ++index) {
+            if (text[index] != '%' || index + 2 >= text.size()) {
+                decoded += text[index];
+                continue;
+            }
+            decoded += static_cast<char>(std::stoi(text.substr(index + 1, 2), nullptr, 16));
+            index += 2;
+        }
+        return decoded;
+    }
+
+    std::string parameter(const Http::incoming_request& request, const char* name)
+    {
+        return decodePercent(Http::queryValue(request.query, name));
+    }
+
+} // namespace
+
+store_stand_in::store_stand_in()
+    : m_port(findFreePort())
+    , m_server(makeSettings(m_port), [this](Http::incoming_request&& request) { answer(std::move(request)); })
+    , m_thread([this] { m_server.run(); })
+{
+}
+
+store_stand_in::~store_stand_in()
+{
+    m_server.stop();
+    m_thread.join();
+}
+
+std::string store_stand_in::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_port);
+}
+
+void store_stand_in::setMode(store_mode mode)
+{
+    m_mode = mode;
+}
+
+void store_stand_in::put(const std::string& table, const std::string& key, const json& value)
+{
+    const std::lock_guard guard(m_mutex);
+    m_rows[{ table, key }] = { value.dump(), ++m_version, false };
+}
+
+void store_stand_in::remove(const std::string& table, const std::string& key)
+{
+    const std::lock_guard guard(m_mutex);
+    m_rows[{ table, key }] = { "", ++m_version, true };
+}
+
+std::string store_stand_in::get(const std::string& table, const std::string& key) const
+{
+    const std::lock_guard guard(m_mutex);
+    const auto found = m_rows.find({ table, key });
+    return found == m_rows.end() ? std::string() : found->second.value;
+}
+
+std::vector<std::string> store_stand_in::keys(const std::string& table) const
+{
+    const std::lock_guard guard(m_mutex);
+    std::vector<std::string> found;
+    for (const auto& [name, row] : m_rows) {
+        if (name.first == table && !row.isRemoved)
+            found.push_back(name.second);
+    }
+    return found;
+}
+
+json store_stand_in::stamped(json body) const
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    body["ver"] = m_version;
+    body["nowMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    return body;
+}
+
+json store_stand_in::rowsOf(const std::string& table, uint64_t after, bool withRemoved, const std::string& from, const std::string& to) const
+{
+    json rows = json::array();
+    for (const auto& [name, row] : m_rows) {
+        if (name.first != table || row.version <= after || (row.isRemoved && !withRemoved))
+            continue;
+        if (name.second < from || (!to.empty() && name.second >= to))
+            continue;
+        rows.push_back({ { "table", table }, { "part", "" }, { "key", name.second }, { "ver", row.version }, { "value", PlatformAdapter::encodeBase64(row.value) } });
+        if (row.isRemoved)
+            rows.back()["tombstone"] = true;
+    }
+    return rows;
+}
+
+json store_stand_in::transact(const json& body, int& status)
+{
+    for (const json& condition : body.at("expectedRev")) {
+        const auto known = m_rows.find({ condition.at("table"), condition.at("key") });
+        const uint64_t version = known == m_rows.end() || known->second.isRemoved ? 0 : known->second.version;
+        if (version == condition.at("ver").get<uint64_t>())
+            continue;
+        status = conditionStatus;
+        return { { "rows", rowsOf(condition.at("table"), 0, false, condition.at("key"), condition.at("key").get<std::string>() + '\x01') } };
+    }
+    ++m_version;
+    for (const json& write : body.at("writes"))
+        m_rows[{ write.at("table"), write.at("key") }] = { PlatformAdapter::decodeBase64(write.at("value").get<std::string>()).value_or(""), m_version, false };
+    for (const json& name : body.at("remove"))
+        m_rows[{ name.at("table"), name.at("key") }] = { "", m_version, true };
+    return json::object();
+}
+
+void store_stand_in::answer(Http::incoming_request&& request)
+{
+    if (m_mode == store_mode::Silent)
+        return;
+    if (m_mode == store_mode::Busy)
+        return m_server.respond(request.token, busyStatus, {}, "");
+    const std::lock_guard guard(m_mutex);
+    int status = okStatus;
+    if (request.path == "/v1/rows-tx") {
+        const json body = transact(json::parse(request.body), status);
+        return m_server.respond(request.token, status, {}, stamped(body).dump());
+    }
+    const std::string table = parameter(request, "table");
+    if (request.path == "/v1/rows-get") {
+        const json rows = rowsOf(table, 0, false, parameter(request, "from"), parameter(request, "to"));
+        return m_server.respond(request.token, okStatus, {}, stamped({ { "rows", rows }, { "hasMore", false } }).dump());
+    }
+    if (m_mode == store_mode::ForgetHistory)
+        return m_server.respond(request.token, goneStatus, {}, "{}");
+    const uint64_t after = std::stoull("0" + parameter(request, "sinceRev"));
+    m_server.runAfter(feedWait, [this, table, after, token = request.token] {
+        const std::lock_guard later(m_mutex);
+        m_server.respond(token, okStatus, {}, stamped({ { "rows", rowsOf(table, after, true, "", "") } }).dump());
+    });
+}
+
+} // namespace PlatformTests
--- /dev/null
+++ b/Tests/Platform/StoreStandIn.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// @file
+/// A small stand-in of the platform's store: tables of rows with one counter of versions, conditional transactions, and
+/// the faults of the real one.
+
+#include "Http/Server.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+namespace PlatformTests {
+
+enum class store_mode {
+    Serve,
+    Busy, ///< Answers 503: nothing is done.
+    Silent, ///< Never answers.
+    ForgetHistory, ///< Changes since any version are no longer kept.
+};
+
+class store_stand_in {
+public:
+    store_stand_in();
+    ~store_stand_in();
+    store_stand_in(const store_stand_in&) = delete;
+    store_stand_in& operator=(const store_stand_in&) = delete;
+
+    /// @return IP number and port.
+    std::string address() const;
+    void setMode(store_mode mode);
+    /// Writes a row as operators and endpoints do.
+    void put(const std::string& table, const std::string& key, const nlohmann::json& value);
+    void remove(const std::string& table, const std::string& key);
+    /// @return a row's value; empty when there is none.
+    std::string get(const std::string& table, const std::string& key) const;
+    /// @return the keys of a table.
+    std::vector<std::string> keys(const std::string& table) const;
+
+private:
+    struct stored_row {
+        std::string value;
+        uint64_t version { 0 };
+        bool isRemoved { false };
+    };
+
+    void answer(Http::incoming_request&& request);
+    nlohmann::json rowsOf(const std::string& table, uint64_t after, bool withRemoved, const std::string& from, const std::string& to) const;
+    nlohmann::json transact(const nlohmann::json& body, int& status);
+    nlohmann::json stamped(nlohmann::json body) const;
+
+    uint16_t m_port;
+    mutable std::mutex m_mutex;
+    std::map<std::pair<std::string, std::string>, stored_row> m_rows;
+    uint64_t m_version { 0 };
+    std::atomic<store_mode> m_mode { store_mode::Serve };
+    Http::server m_server;
+    std::thread m_thread;
+};
+
+} // namespace PlatformTests
