--- a/Tests/Promises/InputTest.cpp
+++ b/Tests/Promises/InputTest.cpp
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <sstream>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace {
@@ -134,7 +135,13 @@
     const stream_request request { "a prompt that nobody should find in a log", 3, 1, 10000, {} };
     const stream_result result = streamChat(target, request);
     releaseCrates(target, "k", "{}", 1, 1);
-    const std::string log = target.logText("node-1");
+    // Lines are written in batches by a thread of their own: they are there a moment after the answer.
+    constexpr int longestLooks = 100;
+    std::string log;
+    for (int looks = 0; looks < longestLooks && (log.find(result.requestId) == std::string::npos || !log.ends_with('\n')); ++looks) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        log = target.logText("node-1");
+    }
     CHECK(log.find(target.accountKey()) == std::string::npos);
     CHECK(log.find("test-operator-key") == std::string::npos);
     CHECK(log.find(request.prompt) == std::string::npos);
