A node that has left stays out of the table of nodes

Ruled out: the time between the removal and the end (the removal was done). Change: after the removal nothing registers.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -62,6 +62,7 @@
     bool isRegistered { false };
     bool isRegistering { false };
     bool isLeaving { false };
+    bool hasLeft { false }; ///< The row is gone for good.
     Common::instant nextRegistration;
 
     bool wasHolder { false };
@@ -264,7 +265,7 @@
 
     void registerSelf(Common::instant now)
     {
-        if (isRegistered || isRegistering || now < nextRegistration)
+        if (isRegistered || isRegistering || hasLeft || now < nextRegistration)
             return;
         if (!context.storeClock)
             return;
@@ -374,6 +375,7 @@
 
     void take(leave_ended&&)
     {
+        hasLeft = true;
         Store::transaction write;
         write.removals.push_back({ nodeTable, "", context.settings.self.node.value });
         context.commit(write, [](const Store::rows_answer&) {});
