Fault soak on the platform's stand-ins

Change: fault-soak starts real nodes as processes, with a proxy on each link (caller to node, node to store, node to cloud, node to endpoint) that slows, resets, silences or cuts one way; nodes are stopped, frozen, killed, killed all at once and restarted; settings files change and break; endpoints misbehave in nine ways or leave and are replaced; the store and the cloud refuse, fall silent, lose answers, act late or lose their history. Up to six faults overlap. New: a stand-in of the cloud's duties. Not covered: steps of the time of day. A fault of the harness: ports of tests now come from outside the range of outgoing connections and are reserved. PlatformGateway: two cases relied on equal endpoints being taken in the order of their ids, which the random share ended; the first endpoint is now the nearest.

--- /dev/null
+++ b/Tests/Faults/SoakEndpoint.cpp
@@ -0,0 +1,258 @@
+#include "Faults/SoakEndpoint.h"
+
+#include <algorithm>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <fmt/format.h>
+#include <poll.h>
+
+namespace Faults {
+
+namespace {
+
+    namespace http = boost::beast::http;
+    using boost::asio::ip::tcp;
+    using boost::system::error_code;
+
+    constexpr int pollMilliseconds = 20;
+    constexpr milliseconds workTime { 15 };
+    constexpr milliseconds betweenEvents { 8 };
+    constexpr int slowFactor = 12;
+    /// Longer than any caller waits.
+    constexpr milliseconds muteTime { 6000 };
+
+    bool isReadable(tcp::socket& socket, int milliseconds)
+    {
+        pollfd waiting { socket.native_handle(), POLLIN, 0 };
+        return poll(&waiting, 1, milliseconds) > 0;
+    }
+
+    bool send(tcp::socket& socket, const std::string& bytes)
+    {
+        error_code error;
+        boost::asio::write(socket, boost::asio::buffer(bytes), error);
+        return !error;
+    }
+
+    void reset(tcp::socket& socket)
+    {
+        error_code ignored;
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    std::string headOf(int status, const std::string& id, bool isSealed, const std::string& more)
+    {
+        const std::string seal = isSealed ? "X-Filbertreel-Server-Seal: s." + id + "\r\n" : "";
+        return fmt::format("HTTP/1.1 {} Status\r\nX-Filbertreel-Attempt-Id: {}\r\n{}{}\r\n", status, id, seal, more);
+    }
+
+    std::string lengthLine(const std::string& body)
+    {
+        return fmt::format("Content-Length: {}\r\n", body.size());
+    }
+
+    std::string notRunAnswer(int status, const std::string& id)
+    {
+        return headOf(status, id, false, "X-Filbertreel-Not-Executed: 1\r\nContent-Length: 0\r\n");
+    }
+
+    std::string chunk(const std::string& bytes)
+    {
+        return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+    }
+
+    std::string plainAnswer(int status, const std::string& id, const std::string& body)
+    {
+        return headOf(status, id, true, lengthLine(body)) + body;
+    }
+
+    template <typename message>
+    std::string valueOf(const message& request, const char* name)
+    {
+        const auto found = request.find(name);
+        return found == request.end() ? std::string() : std::string(found->value());
+    }
+
+    uint32_t numberOf(const std::string& text)
+    {
+        return text.empty() ? 0 : static_cast<uint32_t>(std::stoul(text));
+    }
+
+} // namespace
+
+soak_endpoint::soak_endpoint(std::string name, promise_checker& checker)
+    : m_checker(checker)
+    , m_name(std::move(name))
+    , m_acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    , m_port(m_acceptor.local_endpoint().port())
+    , m_thread([this] { accept(); })
+{
+}
+
+soak_endpoint::~soak_endpoint()
+{
+    m_isStopping = true;
+    m_thread.join();
+    for (const auto& item : m_connections)
+        item->thread.join();
+}
+
+std::string soak_endpoint::name() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_name;
+}
+
+void soak_endpoint::rename(const std::string& name)
+{
+    const std::lock_guard guard(m_mutex);
+    m_name = name;
+}
+
+void soak_endpoint::accept()
+{
+    m_acceptor.non_blocking(true);
+    while (!m_isStopping) {
+        std::erase_if(m_connections, [](const std::unique_ptr<connection>& item) {
+            if (!item->isDone)
+                return false;
+            item->thread.join();
+            return true;
+        });
+        pollfd waiting { m_acceptor.native_handle(), POLLIN, 0 };
+        if (poll(&waiting, 1, pollMilliseconds) <= 0)
+            continue;
+        error_code error;
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (error)
+            continue;
+        socket.non_blocking(false);
+        socket.set_option(tcp::no_delay(true), error);
+        auto item = std::make_unique<connection>();
+        connection& started = *item;
+        started.thread = std::thread([this, &started, socket = std::move(socket)]() mutable {
+            serve(std::move(socket));
+            started.isDone = true;
+        });
+        m_connections.push_back(std::move(item));
+    }
+}
+
+void soak_endpoint::serve(tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    while (!m_isStopping) {
+        http::request_parser<http::string_body> parser;
+        parser.eager(true);
+        while (!parser.is_done()) {
+            if (m_isStopping || m_conduct == endpoint_conduct::Down)
+                return reset(socket);
+            if (!isReadable(socket, pollMilliseconds))
+                continue;
+            error_code error;
+            http::read_some(socket, buffer, parser, error);
+            if (error)
+                return;
+        }
+        if (!answer(socket, parser.get()))
+            return;
+    }
+}
+
+run_seen soak_endpoint::describe(const request_message& request, const std::string& id) const
+{
+    run_seen run;
+    run.id = id;
+    run.endpoint = name();
+    run.target = std::string(request.target());
+    run.body = request.body();
+    run.account = valueOf(request, "X-Filbertreel-Tenant");
+    run.hasKey = request.find("Authorization") != request.end();
+    run.timeBudgetMs = static_cast<int>(numberOf(valueOf(request, "X-Filbertreel-Time-Budget")));
+    run.at = std::chrono::steady_clock::now();
+    return run;
+}
+
+bool soak_endpoint::answer(tcp::socket& socket, const request_message& request)
+{
+    const std::string id = valueOf(request, "X-Filbertreel-Attempt-Id");
+    m_checker.noteArrival(id, std::chrono::steady_clock::now());
+    constexpr int wrongEndpoint = 421;
+    constexpr int full = 503;
+    if (valueOf(request, "X-Filbertreel-Expect-Instance") != name())
+        return send(socket, notRunAnswer(wrongEndpoint, id));
+    if (m_conduct == endpoint_conduct::Full)
+        return send(socket, notRunAnswer(full, id));
+    m_checker.noteRun(describe(request, id));
+    return run(socket, request, id);
+}
+
+bool soak_endpoint::run(tcp::socket& socket, const request_message& request, const std::string& id)
+{
+    const endpoint_conduct conduct = m_conduct;
+    const bool isOdd = ++m_runs % 2 == 1;
+    const milliseconds time = conduct == endpoint_conduct::Slow ? workTime * slowFactor : workTime;
+    if (!waitWhileOpen(socket, conduct == endpoint_conduct::Mute ? muteTime : time))
+        return false;
+    if (conduct == endpoint_conduct::Garbling)
+        return send(socket, "\x01\x02 no answer at all\r\n\r\n") && false;
+    if (conduct == endpoint_conduct::Failing && isOdd)
+        return send(socket, plainAnswer(500, id, "failed"));
+    if (conduct == endpoint_conduct::Forging && isOdd && !send(socket, plainAnswer(200, id + "-other", answerBody(id + "-other"))))
+        return false;
+    const endpoint_conduct shown = conduct == endpoint_conduct::Cutting && !isOdd ? endpoint_conduct::Sound : conduct;
+    if (isStream(kindOf({ request.target().data(), request.target().size() })))
+        return sendStream(socket, id, numberOf(valueOf(request, "Last-Event-Id")), shown);
+    return sendPlain(socket, id, shown);
+}
+
+bool soak_endpoint::sendPlain(tcp::socket& socket, const std::string& id, endpoint_conduct conduct)
+{
+    const std::string whole = plainAnswer(200, id, answerBody(id));
+    if (conduct == endpoint_conduct::Cutting)
+        return send(socket, whole.substr(0, whole.size() - 1)) && false;
+    if (conduct == endpoint_conduct::Talkative)
+        return send(socket, whole + plainAnswer(200, id, answerBody(id)));
+    return send(socket, whole);
+}
+
+bool soak_endpoint::sendStream(tcp::socket& socket, const std::string& id, uint32_t after, endpoint_conduct conduct)
+{
+    if (!send(socket, headOf(200, id, true, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")))
+        return false;
+    const uint32_t count = eventCount(id);
+    for (uint32_t number = after + 1; number <= count; ++number) {
+        const std::string event = eventBytes(id, number);
+        // The break comes within an event.
+        if (conduct == endpoint_conduct::Cutting && number > count / 2)
+            return send(socket, chunk(event.substr(0, event.size() / 2))) && false;
+        if (!send(socket, chunk(event)))
+            return false;
+        if (!waitWhileOpen(socket, conduct == endpoint_conduct::Slow ? betweenEvents * slowFactor : betweenEvents))
+            return false;
+    }
+    return send(socket, "0\r\n\r\n");
+}
+
+/// @return false when the other side closed, or the endpoint is to go down.
+bool soak_endpoint::waitWhileOpen(tcp::socket& socket, milliseconds time) const
+{
+    const auto until = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < until) {
+        if (m_isStopping || m_conduct == endpoint_conduct::Down) {
+            reset(socket);
+            return false;
+        }
+        const auto left = std::chrono::duration_cast<milliseconds>(until - std::chrono::steady_clock::now()).count() + 1;
+        // Nothing is sent while an answer is awaited: whatever is readable is the end.
+        if (isReadable(socket, static_cast<int>(std::min<int64_t>(left, pollMilliseconds))))
+            return false;
+    }
+    return true;
+}
+
+} // namespace Faults
--- a/Tests/Platform/GatewayTest.cpp
+++ b/Tests/Platform/GatewayTest.cpp
@@ -85,7 +85,8 @@
             Fleet::endpoint item;
             item.id = { "e" + std::to_string(endpoints.size()) };
             item.service = { "s" };
-            item.zone = { "z" };
+            // The first one is the nearest, so that requests go there first.
+            item.zone = { known.endpoints.empty() ? "z" : "far" };
             item.address = endpoints.back()->address();
             known.endpoints[item.id] = item;
         }
--- a/Tests/Platform/NodeTest.cpp
+++ b/Tests/Platform/NodeTest.cpp
@@ -1,17 +1,14 @@
 /// @file
 /// The real program on a stand-in of the platform's store: start, change, outage, reload, leaving.
 
-#include "Harness/Process.h"
+#include "Platform/RunningNode.h"
 #include "Platform/ScriptedEndpoint.h"
 #include "Platform/StoreStandIn.h"
 
 #include <CppUTest/TestHarness.h>
 #include <chrono>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
+#include <thread>
 
 namespace {
 
@@ -48,71 +45,6 @@
     return false;
 }
 
-std::string ask(uint16_t port, const std::string& target, const std::string& host = "h.example", const std::string& key = "k1")
-{
-    try {
-        raw_caller caller(port);
-        caller.send("GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\nX-Filbertreel-Attempt-Id: id1\r\nX-Filbertreel-Time-Budget: 1500\r\nAuthorization: Bearer " + key + "\r\n\r\n");
-        return caller.receive();
-    } catch (const std::exception&) {
-        return {};
-    }
-}
-
-int statusOf(const std::string& answer)
-{
-    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
-}
-
-/// One node with its settings file and log in a folder of its own.
-struct running_node {
-    store_stand_in& store;
-    uint16_t callers { findFreePort() };
-    uint16_t ready { findFreePort() };
-    uint16_t peers { findFreePort() };
-    uint16_t metrics { findFreePort() };
-    std::filesystem::path folder;
-    Harness::process child;
-
-    explicit running_node(store_stand_in& used)
-        : store(used)
-    {
-        std::string pattern = (std::filesystem::temp_directory_path() / "filbertreel-node-XXXXXX").string();
-        folder = mkdtemp(pattern.data());
-        writeSettings("");
-        child = Harness::startProcess({ NODE_PROGRAM, "platform-node" }, { "FILBERTREEL_NODE_FILE=" + settingsPath() }, logPath());
-    }
-
-    ~running_node()
-    {
-        Harness::killProcess(child);
-        std::filesystem::remove_all(folder);
-    }
-
-    std::string settingsPath() const { return (folder / "boot.conf").string(); }
-    std::string logPath() const { return (folder / "log").string(); }
-
-    void writeSettings(const std::string& more) const
-    {
-        std::ofstream file(settingsPath());
-        file << "nodeName=n1\nip=127.0.0.1\nzone=z\nregion=r\nzones.z=r\nbootstrap=true\nbounds.graceS=4\n"
-             << "listen.front=127.0.0.1:" << callers << "\nlisten.ready=127.0.0.1:" << ready << "\nlisten.directory=127.0.0.1:" << ready
-             << "\ninternalPorts=" << peers << "," << metrics << "\nprovider.address=" << store.address() << "\n"
-             << more;
-    }
-
-    std::string log() const
-    {
-        std::ifstream file(logPath());
-        std::ostringstream text;
-        text << file.rdbuf();
-        return text.str();
-    }
-
-    int readiness() const { return statusOf(ask(ready, "/v1/readyz")); }
-    int served(const std::string& key = "k1") const { return statusOf(ask(callers, "/p/x", "h.example", key)); }
-};
-
 } // namespace
 
 TEST_GROUP(PlatformNode) {};
@@ -121,14 +53,14 @@
 {
     store_stand_in store;
     scripted_endpoint endpoint({ { wholeAnswer } });
-    running_node node(store);
+    running_node node({ .storeAddress = store.address() });
     CHECK(eventually([&] { return node.served() == 503; }));
     CHECK_EQUAL(503, node.readiness());
     store.put("op", "config", makeManifest(3, "k1"));
     store.put("servers", "i-1", makeEntry(endpoint.address()));
     CHECK(eventually([&] { return node.served() == 200; }));
     CHECK_EQUAL(200, node.readiness());
-    CHECK(eventually([&] { return ask(node.ready, "/v1/resolve?zone=z&region=r").find(std::to_string(node.callers)) != std::string::npos; }));
+    CHECK(eventually([&] { return ask(node.ready(), "/v1/resolve?zone=z&region=r").find(std::to_string(node.callers())) != std::string::npos; }));
     // A key is taken away, and a stale manifest changes nothing.
     store.put("op", "config", makeManifest(5, "k2"));
     CHECK(eventually([&] { return node.served() == 401; }));
@@ -136,7 +68,7 @@
     std::this_thread::sleep_for(milliseconds(500));
     CHECK_EQUAL(401, node.served());
     CHECK_EQUAL(200, node.served("k2"));
-    CHECK(ask(node.metrics, "/metrics").find("filbertreel_catalog_version 5") != std::string::npos);
+    CHECK(ask(node.metrics(), "/metrics").find("filbertreel_catalog_version 5") != std::string::npos);
 }
 
 TEST(PlatformNode, FaultsOfTheStoreChangeNothingThatIsServed)
@@ -151,7 +83,7 @@
         scripted_endpoint endpoint({ { wholeAnswer } });
         store.put("op", "config", makeManifest(3, "k1"));
         store.put("servers", "i-1", makeEntry(endpoint.address()));
-        running_node node(store);
+        running_node node({ .storeAddress = store.address() });
         CHECK_TEXT(eventually([&] { return node.served() == 200; }), item.what);
         store.setMode(item.mode);
         std::this_thread::sleep_for(milliseconds(1000));
@@ -171,7 +103,7 @@
     store.put("op", "config", makeManifest(3, "k1"));
     store.put("servers", "i-1", makeEntry(endpoint.address()));
     store.put("servers", "i-2", "not an entry");
-    running_node node(store);
+    running_node node({ .storeAddress = store.address() });
     CHECK(eventually([&] { return node.served() == 200; }));
     store.put("servers", "i-1", makeEntry(endpoint.address(), "draining"));
     CHECK(eventually([&] { return node.served() == 503; }));
@@ -192,12 +124,12 @@
     scripted_endpoint endpoint({ { wholeAnswer } });
     store.put("op", "config", makeManifest(3, "k1"));
     store.put("servers", "i-1", makeEntry(endpoint.address()));
-    running_node node(store);
+    running_node node({ .storeAddress = store.address() });
     CHECK(eventually([&] { return node.served() == 200 && !store.keys("nodes").empty(); }));
     Harness::signalProcess(node.child, SIGTERM);
     CHECK(eventually([&] { return node.readiness() == 503; }));
-    CHECK_EQUAL(503, statusOf(ask(node.ready, "/v1/resolve?zone=z&region=r")));
-    const std::string late = ask(node.callers, "/p/x");
+    CHECK_EQUAL(503, statusOf(ask(node.ready(), "/v1/resolve?zone=z&region=r")));
+    const std::string late = ask(node.callers(), "/p/x");
     CHECK_EQUAL(200, statusOf(late));
     CHECK(late.find("Connection: close") != std::string::npos);
     CHECK_EQUAL(0, Harness::waitForExit(node.child, longestWaitMs));
@@ -209,7 +141,7 @@
 {
     store_stand_in store;
     store.put("op", "config", makeManifest(3, "k1"));
-    running_node node(store);
+    running_node node({ .storeAddress = store.address() });
     CHECK(eventually([&] { return node.readiness() == 200; }));
     node.writeSettings("some.new=1\n");
     CHECK(eventually([&] { return node.log().find("settings_reloaded") != std::string::npos; }));
--- a/Tests/Platform/ScriptedEndpoint.cpp
+++ b/Tests/Platform/ScriptedEndpoint.cpp
@@ -1,8 +1,12 @@
 #include "Platform/ScriptedEndpoint.h"
 
+#include "Common/Random.h"
+
 #include <array>
 #include <chrono>
+#include <stdexcept>
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <poll.h>
@@ -13,8 +17,13 @@
 namespace {
 
     using boost::asio::ip::tcp;
+    using boost::asio::ip::udp;
     using boost::system::error_code;
 
+    /// Below the range that outgoing connections take their own ports from.
+    constexpr int firstTestPort = 12000;
+    constexpr int testPortCount = 11000;
+
     constexpr int pollMilliseconds = 20;
     constexpr auto longestRead = std::chrono::seconds(2);
 
@@ -168,9 +177,26 @@
 
 uint16_t findFreePort()
 {
-    boost::asio::io_context context;
-    const tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
+    static std::mutex mutex;
+    static boost::asio::io_context context;
+    // A bound UDP port tells the other tests of this machine that its number is taken.
+    static std::vector<udp::socket> reservations;
+    static uint16_t next = static_cast<uint16_t>(firstTestPort + Common::systemSeed() % testPortCount);
+    const std::lock_guard guard(mutex);
+    for (int tries = 0; tries < testPortCount; ++tries) {
+        next = next + 1 < firstTestPort + testPortCount ? next + 1 : firstTestPort;
+        error_code error;
+        udp::socket reservation(context, udp::v4());
+        reservation.bind({ boost::asio::ip::make_address("127.0.0.1"), next }, error);
+        tcp::socket probe(context, tcp::v4());
+        if (!error)
+            probe.bind({ boost::asio::ip::make_address("127.0.0.1"), next }, error);
+        if (error)
+            continue;
+        reservations.push_back(std::move(reservation));
+        return next;
+    }
+    throw std::runtime_error("no free port for a test");
 }
 
 bool isWhole(const std::string& answer)
--- a/Tests/Platform/ScriptedEndpoint.h
+++ b/Tests/Platform/ScriptedEndpoint.h
@@ -75,7 +75,8 @@
     boost::asio::ip::tcp::socket m_socket;
 };
 
-/// @return a port that nobody listens on.
+/// @return a port that nobody listens on, outside the range that outgoing connections draw from; until this process ends no
+/// other test gets it, also while nothing listens there.
 uint16_t findFreePort();
 
 /// @return whether bytes hold a complete answer with a length, or one in chunks with its last chunk.
