Gateway: state, admission and placing are files of their own

Cause: GatewayDuty.cpp held 668 lines: sockets, timers and all decisions. Change: GatewayState (what it knows, pure), Admission (whether a request is taken, pure), Placing (the endpoint of the next attempt, pure) and Messages stand beside it; the duty keeps connections, timers and the flow of a call, 487 lines. No behaviour changes. Unused fields of Scheduling::work are gone.

--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -2,12 +2,14 @@
 
 #include "Common/Log.h"
 #include "Common/Metrics.h"
+#include "Common/Ring.h"
 #include "Common/Text.h"
+#include "Gateway/Admission.h"
 #include "Gateway/AttemptOutcome.h"
 #include "Gateway/Call.h"
 #include "Gateway/CallLog.h"
 #include "Gateway/ChannelPool.h"
-#include "Limits/RepeatBudget.h"
+#include "Gateway/Placing.h"
 
 #include <atomic>
 #include <unordered_map>
@@ -26,32 +28,16 @@
     using boost::system::error_code;
 
     constexpr size_t ringCapacity = 4096;
-    /// How often grants, usage and demand are reported: the allowances are shared within this time.
-    constexpr milliseconds reportInterval { 250 };
-    constexpr milliseconds reportSlack { 150 };
-    /// Every node tells every other; with more nodes each tells less often.
-    constexpr size_t nodesPerStretch = 20;
     /// Taken off an endpoint's time budget for the way back.
     constexpr milliseconds returnAllowance { 5 };
     /// Connecting within a region takes tens of milliseconds; a silent machine must not eat the time budget.
     constexpr milliseconds connectLimit { 400 };
     /// An attempt with less time left than this is not worth its arrival.
     constexpr milliseconds leastAttemptTime { 20 };
-    /// Waiting time of callers that state none on routes without a limit.
-    constexpr milliseconds assumedTimeBudget { 30000 };
     /// Callers that were refused for want of an endpoint may come back after this.
-    constexpr milliseconds retryWhenNotReady { 500 };
-    constexpr milliseconds retryWhenLeaving { 100 };
+    constexpr milliseconds retryWithoutEndpoint { 500 };
     /// A leaving node takes short requests this long: callers keep a directory answer for three times its life at most.
     constexpr double takesWorkShareOfGrace = 0.75;
-    /// Answers in progress have to be complete by this share of the grace.
-    constexpr double finishShareOfGrace = 0.85;
-    /// A request is taken only when it is expected to take less than this part of the time left.
-    constexpr double expectedShareOfTimeLeft = 0.4;
-    /// Assumed of requests of which nothing is known, and of each output token of a stream.
-    constexpr milliseconds assumedPlainTime { 150 };
-    constexpr milliseconds assumedFirstEventTime { 600 };
-    constexpr double assumedMsPerOutputToken = 20;
     constexpr uint32_t mostUrgency = 9;
 
     Common::instant clockNow()
@@ -66,11 +52,6 @@
         return { boost::asio::ip::make_address(address.substr(0, colon)), static_cast<uint16_t>(port) };
     }
 
-    std::string_view pathOf(std::string_view target)
-    {
-        return target.substr(0, target.find('?'));
-    }
-
     std::string errorBody(std::string_view error)
     {
         return fmt::format("{{\"error\":\"{}\"}}", error);
@@ -94,13 +75,7 @@
     std::atomic<size_t> callCount { 0 };
     uint64_t lastCall { 0 };
 
-    Catalog::catalog_pointer catalog;
-    Scheduling::scheduler_state scheduler;
-    Quota::ledger quota;
-    Limits::repeat_budgets repeats;
-    std::map<Common::service_name, version_share_known> versionShares;
-    interval_report interval;
-    std::optional<Common::instant> leavingSince;
+    gateway_state state;
 
     // --- Sessions
 
@@ -135,7 +110,7 @@
         sessionEvents.onRequest = [this](const caller_session_pointer& session, arrived_request&& request) { begin(session, std::move(request)); };
         sessionEvents.onGone = [this](caller_session& session) { abandon(session); };
         sessionEvents.onClosed = [this](caller_session& session) { sessions.erase(session.shared_from_this()); };
-        sessionEvents.limits = [this] { return catalog ? catalog->limits : Catalog::input_limits {}; };
+        sessionEvents.limits = [this] { return state.catalog ? state.catalog->limits : Catalog::input_limits {}; };
     }
 
     // --- A request from its arrival to its placement
@@ -151,51 +126,15 @@
         item.request = std::move(request);
         calls[session.get()] = std::move(owned);
         callCount = calls.size();
-        if (!admit(item))
-            return;
+        const std::optional<own_answer> refusal = admit(state, item);
+        if (refusal)
+            return refuse(item, *refusal);
+        startTimer(item);
         place(item);
     }
 
-    bool admit(call& item)
-    {
-        item.catalog = catalog;
-        if (!catalog)
-            return refuse(item, 503, "not_ready", retryWhenNotReady);
-        item.route = Catalog::findRoute(*catalog, Http::findHeader(item.request.headers, "host"), pathOf(item.request.target));
-        if (!item.route)
-            return refuse(item, 404, "unknown_route", {});
-        if (!authorize(item))
-            return refuse(item, 401, "unknown_key", {});
-        if (leavingSince && !canFinishBeforeLeaving(item))
-            return refuse(item, 503, "leaving", retryWhenLeaving);
-        setTimes(item);
-        item.service = Catalog::chooseService(*item.route, Common::uniformUnit(scheduler.random));
-        Limits::countRequest(repeats, item.service, item.arrived);
-        return takeAllowance(item);
-    }
-
-    bool authorize(call& item)
+    void startTimer(call& item)
     {
-        item.urgency = item.route->priority;
-        if (catalog->accounts.empty() || item.route->isPublic)
-            return true;
-        const Catalog::account* account = Catalog::findAccount(*catalog, item.facts.key);
-        if (!account)
-            return false;
-        item.account = account->id;
-        item.urgency = account->priority.value_or(item.route->priority);
-        return true;
-    }
-
-    void setTimes(call& item)
-    {
-        milliseconds budget = item.facts.timeBudget.value_or(assumedTimeBudget);
-        if (item.route->timeout.count() > 0)
-            budget = std::min(budget, item.route->timeout);
-        item.deadline = item.arrived + budget;
-        item.progress.mayRepeat = Catalog::mayRepeat(*item.route);
-        item.progress.isResumable = item.route->isResumable;
-        item.progress.maxEndpoints = item.route->maxEndpoints;
         item.timer = std::make_unique<boost::asio::steady_timer>(context, item.deadline);
         item.timer->async_wait([this, session = item.session.get(), id = item.id](const error_code& error) {
             if (error)
@@ -206,67 +145,14 @@
         });
     }
 
-    bool takeAllowance(call& item)
-    {
-        if (item.account.value.empty())
-            return true;
-        const Catalog::account* account = Catalog::findAccount(*catalog, item.facts.key);
-        double amount = 1;
-        if (account->allowed.countsTokens)
-            amount = item.facts.model ? item.facts.model->promptTokens + item.facts.model->mostOutputTokens : static_cast<double>(account->allowed.plainTokens);
-        const Quota::grant grant = Quota::take(quota, item.account, amount, item.arrived);
-        if (!grant.isGranted)
-            return refuse(item, 429, "over_allowance", grant.retryAfter);
-        item.granted = amount;
-        return true;
-    }
-
-    Scheduling::work workOf(const call& item) const
-    {
-        Scheduling::work work;
-        work.service = item.service;
-        work.model = item.facts.model;
-        work.target = item.route->target;
-        work.arrived = item.arrived;
-        work.deadline = item.deadline;
-        work.urgency = item.urgency;
-        work.bodyBytes = item.request.body.size();
-        return work;
-    }
-
-    /// During a rollout a drawn part of the requests goes to the fresh version, and no other.
-    void limitVersion(const call& item, Scheduling::placement_limits& limits)
-    {
-        constexpr uint32_t thousandths = 1000;
-        const auto known = versionShares.find(item.service);
-        if (known == versionShares.end())
-            return;
-        const bool isDrawn = Common::uniformBelow(scheduler.random, thousandths) < known->second.thousandths;
-        (isDrawn ? limits.onlyVersion : limits.neverVersion) = known->second.fresh;
-    }
-
-    tl::expected<Scheduling::placement, Scheduling::refusal> choose(const call& item, Common::instant now)
-    {
-        Scheduling::placement_limits limits;
-        limits.avoided = item.tried;
-        limitVersion(item, limits);
-        auto placed = Scheduling::place(scheduler, workOf(item), limits, now);
-        if (placed || !limits.onlyVersion)
-            return placed;
-        // The fresh version can't take it: that is no reason to refuse.
-        limits.neverVersion = limits.onlyVersion;
-        limits.onlyVersion.reset();
-        return Scheduling::place(scheduler, workOf(item), limits, now);
-    }
-
     void place(call& item)
     {
-        const auto placed = choose(item, clockNow());
+        const auto placed = choose(state, item, clockNow());
         if (placed)
             return send(item, *placed);
         if (item.progress.endpointsRun > 0 || item.progress.hasHeadSent)
             return failUnknown(item, Scheduling::nameOf(placed.error().reason));
-        refuse(item, 503, Scheduling::nameOf(placed.error().reason), placed.error().retryAfter);
+        refuse(item, { 503, Scheduling::nameOf(placed.error().reason), placed.error().retryAfter });
     }
 
     // --- An attempt at an endpoint
@@ -275,10 +161,10 @@
     {
         item.current.emplace();
         item.current->where = where;
-        item.current->version = scheduler.endpoints.at(where.endpoint).facts.version;
+        item.current->version = state.scheduler.endpoints.at(where.endpoint).facts.version;
         item.tried.insert(where.endpoint);
         ++item.sends;
-        noteDemand(item);
+        noteDemand(state, item);
         attempt_facts told;
         told.timeBudget = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(item.deadline - clockNow()) - returnAllowance);
         told.endpoint = where.endpoint;
@@ -320,7 +206,7 @@
         current.status = status;
         current.answer = settings.wire.readAnswer(headers);
         if (current.answer.load)
-            Scheduling::noteStatedLoad(scheduler, current.where.endpoint, *current.answer.load, clockNow());
+            Scheduling::noteStatedLoad(state.scheduler, current.where.endpoint, *current.answer.load, clockNow());
         current.isForeign = !item.facts.attemptId.empty() && !current.answer.attemptId.empty() && current.answer.attemptId != item.facts.attemptId;
         const bool isTrusted = !current.isForeign && current.answer.isSealed && !current.answer.hasContentEncoding;
         if (isSuccess(status) && !isTrusted)
@@ -344,7 +230,7 @@
         if (!item.progress.hasHeadSent) {
             item.progress.hasHeadSent = true;
             item.firstByteMs = toMs(clockNow() - item.arrived);
-            item.session->beginStream(current.status, current.answer.passedOn, leavingSince.has_value());
+            item.session->beginStream(current.status, current.answer.passedOn, isLeaving());
         }
         item.session->streamBytes(events);
     }
@@ -357,12 +243,12 @@
             return;
         const Common::instant now = clockNow();
         if (isSuccess(current.status))
-            Scheduling::noteBegun(scheduler, current.where.endpoint, current.where.id, now);
+            Scheduling::noteBegun(state.scheduler, current.where.endpoint, current.where.id, now);
         if (item.isCounted)
             return;
         item.isCounted = true;
         if (!item.account.value.empty())
-            interval.begun.push_back({ item.account, now });
+            state.interval.begun.push_back({ item.account, now });
     }
 
     void takeEnd(call& item, exchange_end end, bool isReusable)
@@ -380,7 +266,7 @@
     void noteAttemptEnd(call& item, attempt_end outcome)
     {
         attempt& current = *item.current;
-        Scheduling::noteEnded(scheduler, current.where.endpoint, current.where.id, placementEndOf(outcome), clockNow());
+        Scheduling::noteEnded(state.scheduler, current.where.endpoint, current.where.id, placementEndOf(outcome), clockNow());
         Common::countMetric(fmt::format("filbertreel_attempts_total{{service=\"{}\",end=\"{}\"}}", item.service.value, nameOf(outcome)));
         observe(item, seenEventOf(item, outcome, clockNow()));
         if (outcome == attempt_end::NotSent || outcome == attempt_end::NotRun)
@@ -391,7 +277,7 @@
 
     void observe(const call& item, attempt_seen::event what) const
     {
-        if (outlets.attemptSeen && versionShares.contains(item.service))
+        if (outlets.attemptSeen && state.versionShares.contains(item.service))
             outlets.attemptSeen({ item.service, item.current->version, item.route->name, what });
     }
 
@@ -399,7 +285,7 @@
     {
         item.progress.hasTimeLeft = item.deadline - clockNow() > leastAttemptTime;
         next_step step = decideNext(item.progress, outcome);
-        if (step != next_step::TryAnother || Limits::takeRepeat(repeats, item.service, clockNow()))
+        if (step != next_step::TryAnother || Limits::takeRepeat(state.repeats, item.service, clockNow()))
             return step;
         Common::countMetric("filbertreel_repeats_refused_total");
         item.progress.hasTimeLeft = false;
@@ -418,8 +304,7 @@
         case next_step::GiveAnswer:
             return giveAnswer(item);
         case next_step::Refuse:
-            refuse(item, 503, nameOf(outcome), retryWhenNotReady);
-            return;
+            return refuse(item, { 503, nameOf(outcome), retryWithoutEndpoint });
         case next_step::FailUnknown:
             return failUnknown(item, nameOf(outcome));
         case next_step::FailTimeout:
@@ -438,22 +323,21 @@
             item.session->endStream();
         } else {
             item.firstByteMs = toMs(clockNow() - item.arrived);
-            item.session->respond(current.status, current.answer.passedOn, current.body, leavingSince.has_value());
+            item.session->respond(current.status, current.answer.passedOn, current.body, isLeaving());
         }
         finish(item, "answered", current.status);
     }
 
-    /// @return false, so that admission can end with it.
-    bool refuse(call& item, int status, std::string_view reason, std::optional<milliseconds> retryAfter)
+    void refuse(call& item, const own_answer& answer)
     {
         if (item.granted > 0)
-            Quota::giveBack(quota, item.account, item.granted);
-        Common::countMetric(fmt::format("filbertreel_refusals_total{{reason=\"{}\"}}", reason));
+            Quota::giveBack(state.quota, item.account, item.granted);
+        Common::countMetric(fmt::format("filbertreel_refusals_total{{reason=\"{}\"}}", answer.reason));
+        std::optional<milliseconds> retryAfter = answer.retryAfter;
         if (retryAfter && item.facts.timeBudget)
             retryAfter = std::min(*retryAfter, *item.facts.timeBudget / 3);
-        item.session->respond(status, settings.wire.writeOwnAnswer(item.facts, retryAfter), errorBody(reason), leavingSince.has_value());
-        finish(item, reason, status);
-        return false;
+        item.session->respond(answer.status, settings.wire.writeOwnAnswer(item.facts, retryAfter), errorBody(answer.reason), isLeaving());
+        finish(item, answer.reason, answer.status);
     }
 
     void failUnknown(call& item, std::string_view reason)
@@ -465,7 +349,7 @@
 
     void fail(call& item, int status, std::string_view reason)
     {
-        item.session->respond(status, settings.wire.writeOwnAnswer(item.facts, {}), errorBody(reason), leavingSince.has_value());
+        item.session->respond(status, settings.wire.writeOwnAnswer(item.facts, {}), errorBody(reason), isLeaving());
         finish(item, reason, status);
     }
 
@@ -479,8 +363,7 @@
     void expire(call& item)
     {
         if (!item.current || !item.current->channel) {
-            refuse(item, 503, "too_late", {});
-            return;
+            return refuse(item, { 503, "too_late", {} });
         }
         item.current->channel->cancel();
         noteAttemptEnd(item, attempt_end::TimedOut);
@@ -495,7 +378,7 @@
         call& item = *found->second;
         if (item.current && item.current->channel) {
             item.current->channel->cancel();
-            Scheduling::noteEnded(scheduler, item.current->where.endpoint, item.current->where.id, Scheduling::placement_end::Abandoned, clockNow());
+            Scheduling::noteEnded(state.scheduler, item.current->where.endpoint, item.current->where.id, Scheduling::placement_end::Abandoned, clockNow());
             observe(item, attempt_seen::event::Abandoned);
         }
         finish(item, "caller_gone", 0);
@@ -527,54 +410,18 @@
             std::visit([this](auto& item) { take(item); }, message);
     }
 
-    void take(catalog_known& message)
+    template <typename message_type>
+    void take(const message_type& message)
     {
-        if (catalog && message.catalog->version <= catalog->version)
-            return;
-        catalog = message.catalog;
-        Quota::setAllowances(quota, *catalog, clockNow());
-        Common::setMetric("filbertreel_catalog_version", static_cast<double>(catalog->version));
+        learn(state, message, clockNow());
     }
 
-    void take(endpoints_known& message)
+    void take(const leave_begun& message)
     {
-        const Common::instant now = clockNow();
-        for (const auto& [id, item] : message.endpoints)
-            Scheduling::noteEndpoint(scheduler, item, now);
-        std::vector<Common::endpoint_id> gone;
-        for (const auto& [id, item] : scheduler.endpoints) {
-            if (!message.endpoints.contains(id))
-                gone.push_back(id);
-        }
-        for (const Common::endpoint_id& id : gone)
-            Scheduling::dropEndpoint(scheduler, id);
-    }
-
-    void take(peers_known& message)
-    {
-        Quota::setPeers(quota, message.peers, clockNow());
-        repeats.nodes = message.peers.size() + 1;
-        // Three reports in a row are missing.
-        quota.silence = 3 * reportWait() + reportSlack;
-    }
-
-    void take(grants_heard& message)
-    {
-        Quota::hearReport(quota, message.report, clockNow());
-    }
-
-    void take(version_share_known& message)
-    {
-        versionShares[message.service] = message;
-    }
-
-    void take(leave_begun&)
-    {
-        if (leavingSince)
+        if (isLeaving())
             return;
-        leavingSince = clockNow();
-        const auto grace = settings.facts.bounds.grace;
-        leaveTimer.expires_after(std::chrono::duration_cast<milliseconds>(grace * takesWorkShareOfGrace));
+        learn(state, message, clockNow());
+        leaveTimer.expires_after(std::chrono::duration_cast<milliseconds>(state.grace * takesWorkShareOfGrace));
         leaveTimer.async_wait([this](const error_code& error) {
             if (error)
                 return;
@@ -583,44 +430,20 @@
         });
     }
 
-    bool canFinishBeforeLeaving(const call& item) const
+    bool isLeaving() const
     {
-        const auto left = toMs(*leavingSince + std::chrono::duration_cast<milliseconds>(settings.facts.bounds.grace * finishShareOfGrace) - item.arrived);
-        double expected = toMs(assumedPlainTime);
-        if (item.facts.model)
-            expected = toMs(assumedFirstEventTime) + item.facts.model->expectedOutputTokens.value_or(item.facts.model->mostOutputTokens) * assumedMsPerOutputToken;
-        return expected < left * expectedShareOfTimeLeft;
+        return state.leavingSince.has_value();
     }
 
     // --- Reports to other duties
 
-    void noteDemand(const call& item)
-    {
-        if (item.facts.model)
-            interval.demand.engineMs[item.service] += Scheduling::engineMs(scheduler, item.service, item.current->where.freshTokens, *item.facts.model);
-    }
-
-    milliseconds reportWait() const
-    {
-        return reportInterval * std::max<int64_t>(1, static_cast<int64_t>(repeats.nodes / nodesPerStretch));
-    }
-
     void reportLater()
     {
-        const milliseconds wait = reportWait();
-        reportTimer.expires_after(wait);
-        reportTimer.async_wait([this, wait](const error_code& error) {
+        reportTimer.expires_after(reportWait(state));
+        reportTimer.async_wait([this](const error_code& error) {
             if (error)
                 return;
-            interval.grants = Quota::makeReport(quota, clockNow());
-            interval.grants.node = settings.facts.node;
-            interval.grants.incarnation = settings.incarnation;
-            interval.demand.node = settings.facts.node;
-            interval.demand.zone = settings.facts.zone;
-            interval.demand.interval = wait;
-            interval.inFlight = calls.size();
-            outlets.report(std::move(interval));
-            interval = {};
+            outlets.report(takeReport(state, settings.facts, settings.incarnation, calls.size(), clockNow()));
             reportLater();
         });
     }
@@ -632,11 +455,7 @@
     implementation& self = *m_implementation;
     self.settings = std::move(settings);
     self.outlets = std::move(outlets);
-    const Fleet::node_facts& facts = self.settings.facts;
-    self.scheduler.here = { facts.zone, facts.region, facts.regions };
-    self.scheduler.random = Common::random_source(self.settings.seed);
-    self.quota.startsEmpty = !facts.isFirstStart;
-    self.repeats.rules = { facts.bounds.repeatRatio, facts.bounds.repeatSlack, facts.bounds.repeatWindow };
+    self.state = makeGatewayState(self.settings.facts, self.settings.seed);
     self.setSessionEvents();
     self.inbox.setWaker([&self] { boost::asio::post(self.context, [&self] { self.takeMessages(); }); });
 }
--- a/Source/Core/Scheduling/Work.h
+++ b/Source/Core/Scheduling/Work.h
@@ -39,11 +39,8 @@
 struct work {
     Common::service_name service;
     std::optional<model_facts> model;
-    milliseconds target { 0 }; ///< To the first event or the answer.
     Common::instant arrived;
     Common::instant deadline;
-    uint32_t urgency { 0 }; ///< 0 is the most urgent.
-    uint64_t bodyBytes { 0 };
 };
 
 } // namespace Scheduling
