--- a/Source/Core/Control/EndpointOrders.cpp
+++ b/Source/Core/Control/EndpointOrders.cpp
@@ -25,18 +25,9 @@
 
     void planAll(endpoint_orders& item, Common::instant now)
     {
-        Scaling::wanted_map wanted;
-        for (const auto& [name, service] : item.context.catalog->services) {
-            if (!service.scaling)
-                continue;
-            Scaling::plan_input input;
-            input.demand = Scaling::demandByZone(item.demand, name, now);
-            input.supply = Scaling::countSupply(item.context.endpoints.endpoints, name);
-            input.exhausted = Scaling::exhaustedZones(item.orders, name, now);
-            wanted.merge(Scaling::planEndpoints(service, input));
-        }
         const Scaling::wanted_map before = item.memory.wanted;
-        if (Scaling::steady(item.memory, wanted, now) != before)
+        const Scaling::wanted_map wanted = Scaling::planServices(*item.context.catalog, item.context.endpoints.endpoints, item.demand, item.orders, item.memory, now);
+        if (wanted != before)
             logPlan(item, now);
     }
 
--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -13,6 +13,8 @@
     constexpr double reclaimableFactor = 1.5;
     /// While no demand is known, the endpoints present are taken to be this busy.
     constexpr double assumedBusyPart = 0.4;
+    /// Endpoints write their entries about every second: none has appeared for two of them when all have.
+    constexpr milliseconds registrationTime { 2000 };
     constexpr milliseconds retryPause { 500 };
     /// A confirmed number is ordered again after this time, should it have been lost.
     constexpr milliseconds renewPause { 20000 };
@@ -43,12 +45,8 @@
 
     double busyOf(const plan_input& input, const Common::zone_name& zone, size_t zones)
     {
-        if (input.demand.empty()) {
-            uint32_t present = 0;
-            for (const auto& [name, count] : input.supply)
-                present += count.plain + count.reclaimable;
-            return assumedBusyPart * present / static_cast<double>(std::max<size_t>(1, zones));
-        }
+        if (input.demand.empty())
+            return assumedBusyPart * input.startingCount / static_cast<double>(std::max<size_t>(1, zones));
         const auto known = input.demand.find(zone);
         return known == input.demand.end() ? 0 : known->second.value;
     }
@@ -114,6 +112,36 @@
         }
     }
 
+    uint32_t totalOf(const supply_map& supply)
+    {
+        uint32_t total = 0;
+        for (const auto& [zone, count] : supply)
+            total += count.plain + count.reclaimable;
+        return total;
+    }
+
+    /// Follows the endpoints of a service while no demand is known.
+    /// @return whether all that will stand at the start have appeared.
+    bool hasRegistered(starting_supply& starting, uint32_t count, Common::instant now)
+    {
+        if (count > starting.count) {
+            starting.count = count;
+            starting.grownAt = now;
+        }
+        return starting.count > 0 && now - starting.grownAt >= registrationTime;
+    }
+
+    /// What is in use is the first plan of a holder that has none yet.
+    void startFromSupply(plan_memory& memory, const Common::service_name& service, const wanted_map& planned, const supply_map& supply)
+    {
+        for (const auto& [item, count] : planned) {
+            const auto present = supply.find(item.zone);
+            if (item.service != service || present == supply.end())
+                continue;
+            memory.wanted.try_emplace(item, item.isReclaimable ? present->second.reclaimable : present->second.plain);
+        }
+    }
+
 } // namespace
 
 supply_map countSupply(const Fleet::endpoint_map& endpoints, const Common::service_name& service)
@@ -142,6 +170,28 @@
     return wanted;
 }
 
+wanted_map planServices(const Catalog::catalog& catalog, const Fleet::endpoint_map& endpoints, const demand_book& demand, const order_book& orders, plan_memory& memory, Common::instant now)
+{
+    wanted_map wanted;
+    for (const auto& [name, service] : catalog.services) {
+        if (!service.scaling)
+            continue;
+        plan_input input;
+        input.demand = demandByZone(demand, name, now);
+        input.supply = countSupply(endpoints, name);
+        input.exhausted = exhaustedZones(orders, name, now);
+        starting_supply& starting = memory.starting[name];
+        if (input.demand.empty() && !hasRegistered(starting, totalOf(input.supply), now))
+            continue;
+        input.startingCount = starting.count;
+        const wanted_map planned = planEndpoints(service, input);
+        if (!input.demand.empty())
+            startFromSupply(memory, name, planned, input.supply);
+        wanted.insert(planned.begin(), planned.end());
+    }
+    return steady(memory, wanted, now);
+}
+
 wanted_map steady(plan_memory& memory, const wanted_map& planned, Common::instant now)
 {
     for (const auto& [item, count] : planned) {
--- a/Source/Core/Scaling/Plan.h
+++ b/Source/Core/Scaling/Plan.h
@@ -32,14 +32,23 @@
     uint32_t reclaimable { 0 };
 };
 
+struct order_book;
+
 using supply_map = std::map<Common::zone_name, zone_supply>;
 using wanted_map = std::map<subject, uint32_t>;
 
 /// Counts the endpoints of a service that take work.
 supply_map countSupply(const Fleet::endpoint_map& endpoints, const Common::service_name& service);
 
+/// The endpoints of a service that stood before any demand was known.
+struct starting_supply {
+    uint32_t count { 0 }; ///< The most at one moment.
+    Common::instant grownAt; ///< When the last of them appeared.
+};
+
 /// Remembers what makes the plan steady.
 struct plan_memory {
+    std::map<Common::service_name, starting_supply> starting;
     std::map<subject, uint32_t> wanted; ///< As planned last.
     std::map<subject, Common::instant> lowerSince; ///< Since when less would do.
 };
@@ -48,7 +57,8 @@
 struct plan_input {
     std::map<Common::zone_name, busy_engines> demand; ///< Empty while nothing is known.
     supply_map supply; ///< What takes work now.
-    std::set<Common::zone_name> exhausted; ///< Zones where no reclaimable endpoint was to be had lately.
+    std::set<Common::zone_name> exhausted {}; ///< Zones where no reclaimable endpoint was to be had lately.
+    uint32_t startingCount { 0 }; ///< Endpoints that stood before any demand was known.
 };
 
 /// @param item a service that is scaled.
@@ -56,6 +66,16 @@
 /// @return the wanted number of each kind in each zone.
 wanted_map planEndpoints(const Catalog::service& item, const plan_input& input);
 
+/// Plans all services that are scaled. A service of which neither endpoints nor demand are known is left out.
+/// @param catalog in force.
+/// @param endpoints all that are known.
+/// @param demand as the nodes have told it.
+/// @param orders given so far.
+/// @param memory changed in place.
+/// @param now the present time.
+/// @return the numbers to order.
+wanted_map planServices(const Catalog::catalog& catalog, const Fleet::endpoint_map& endpoints, const demand_book& demand, const order_book& orders, plan_memory& memory, Common::instant now);
+
 /// Lets numbers rise at once and fall only after a while.
 /// @param memory changed in place.
 /// @return the numbers to order.
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -23,6 +23,17 @@
     return item;
 }
 
+Fleet::endpoint makeEndpoint(int number, bool isReclaimable)
+{
+    constexpr const char* zones[] = { "a", "b", "c" };
+    Fleet::endpoint item;
+    item.id = { "i-" + std::to_string(number) };
+    item.service = { "s" };
+    item.zone = { zones[number % 3] };
+    item.isReclaimable = isReclaimable;
+    return item;
+}
+
 uint32_t sum(const wanted_map& wanted, bool isReclaimable)
 {
     uint32_t total = 0;
@@ -97,7 +108,7 @@
 TEST(Plan, BeforeAnyDemandIsKnownSomeOfWhatStandsIsKept)
 {
     const supply_map supply { { { "a" }, { 3, 0 } }, { { "b" }, { 3, 0 } }, { { "c" }, { 3, 0 } } };
-    const wanted_map wanted = planEndpoints(makeService(), { {}, supply, {} });
+    const wanted_map wanted = planEndpoints(makeService(), { {}, supply, {}, 9 });
     CHECK(sum(wanted, false) + sum(wanted, true) >= 6);
 }
 
@@ -112,6 +123,47 @@
     CHECK_EQUAL(1, steady(memory, { { item, 1 } }, at(20000))[item]);
 }
 
+TEST(Plan, NothingIsOrderedBeforeTheFleetHasRegistered)
+{
+    // The load: the first node plans before any endpoint has written its entry; then they register one after the other.
+    Catalog::catalog catalog;
+    catalog.services.emplace(Common::service_name { "s" }, makeService());
+    plan_memory memory;
+    Fleet::endpoint_map endpoints;
+    const auto plan = [&](int ms) { return planServices(catalog, endpoints, {}, {}, memory, at(ms)); };
+    CHECK(plan(0).empty());
+    CHECK(plan(10000).empty());
+    for (int number = 0; number < 9; ++number) {
+        Fleet::endpoint item = makeEndpoint(number, false);
+        endpoints.emplace(item.id, item);
+        CHECK(plan(10000 + number * 300).empty());
+    }
+    const wanted_map wanted = plan(15000);
+    CHECK(sum(wanted, false) >= 4);
+    CHECK(sum(wanted, true) >= 6);
+    // Endpoints that are given back since are no measure of the demand.
+    for (int number = 0; number < 5; ++number)
+        endpoints.erase(makeEndpoint(number, false).id);
+    CHECK_EQUAL(sum(wanted, true), sum(plan(15300), true));
+}
+
+TEST(Plan, AnotherHolderDoesNotGiveBackAtOnceWhatIsInUse)
+{
+    // The load: the holder of the lease is killed, and the next one knows little of the demand yet.
+    Catalog::catalog catalog;
+    catalog.services.emplace(Common::service_name { "s" }, makeService());
+    Fleet::endpoint_map endpoints;
+    for (int number = 0; number < 12; ++number) {
+        Fleet::endpoint item = makeEndpoint(number, true);
+        endpoints.emplace(item.id, item);
+    }
+    demand_book demand;
+    noteDemand(demand, { { "n" }, { "a" }, { { { "s" }, 20 } }, milliseconds(250) }, at(0));
+    plan_memory memory;
+    CHECK_EQUAL(12, sum(planServices(catalog, endpoints, demand, {}, memory, at(0)), true));
+    CHECK_EQUAL(12, sum(planServices(catalog, endpoints, demand, {}, memory, at(2000)), true));
+}
+
 TEST(Plan, OrdersAreRepeatedUntilConfirmedAndAfterALoss)
 {
     order_book orders;
