--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -77,8 +77,10 @@
             return {};
         const double amount = allowanceOf(*Catalog::findAccount(*item.catalog, item.facts.key), item);
         const Quota::grant grant = Quota::take(state.quota, item.account, amount, item.arrived);
-        if (!grant.isGranted)
+        if (!grant.isGranted) {
+            item.overAllowance = grant;
             return own_answer { 429, "over_allowance", grant.retryAfter };
+        }
         item.granted = amount;
         return {};
     }
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -9,6 +9,7 @@
 #include "Gateway/EndpointChannel.h"
 #include "Gateway/EventStream.h"
 #include "Gateway/WireFormat.h"
+#include "Quota/Quota.h"
 #include "Scheduling/Scheduler.h"
 
 namespace Gateway {
@@ -40,6 +41,7 @@
     Common::service_name service;
     uint32_t urgency { 0 };
     double granted { 0 }; ///< Taken from the account's allowance.
+    std::optional<Quota::grant> overAllowance; ///< What the allowance was refused by.
     bool isCounted { false }; ///< Reported as begun.
     Common::instant arrived;
     Common::instant deadline;
--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -22,6 +22,11 @@
         fields["route"] = item.route->name.value;
     if (!item.account.value.empty())
         fields["account"] = item.account.value;
+    if (item.overAllowance) {
+        fields["allowance_left"] = std::llround(item.overAllowance->level);
+        fields["allowance_share"] = item.overAllowance->share;
+        fields["allowance_per_s"] = std::llround(Catalog::findAccount(*item.catalog, item.facts.key)->allowed.perSecond);
+    }
     if (item.facts.timeBudget)
         fields["budget_ms"] = item.facts.timeBudget->count();
     if (item.firstByteMs > 0)
--- a/Source/Core/Quota/Quota.cpp
+++ b/Source/Core/Quota/Quota.cpp
@@ -115,7 +115,7 @@
     refill(state, bucket, now);
     bucket.askedSinceReport += amount;
     if (!isWithin(state, bucket, amount))
-        return { false, whenRefilled(bucket, amount) };
+        return { false, whenRefilled(bucket, amount), bucket.level, ownShare(state, bucket) };
     bucket.level -= amount;
     bucket.granted += amount;
     bucket.sinceExchange += amount;
--- a/Source/Core/Quota/Quota.h
+++ b/Source/Core/Quota/Quota.h
@@ -68,6 +68,8 @@
 struct grant {
     bool isGranted { true };
     milliseconds retryAfter { 0 }; ///< When the account may ask again, if it was not granted.
+    double level { 0 }; ///< Left of the shared bucket, as this node knows it.
+    double share { 1 }; ///< This node's part of it.
 };
 
 /// @param state the buckets; a grant is recorded.
