Usage reports stay within the entries of a transaction

Cause: "the store refused POST /v1/rows-tx: over 100 entries" on the grown Authority: a report took all rows of the window before along for removal, one for each process that had counted. Change: a report takes at most 90 removals along; what is left goes in transactions of its own. Test: NoTransactionHoldsMoreEntriesThanTheStoreTakes, red with the bound lifted.

--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -107,6 +107,39 @@
     }
 }
 
+TEST(UsageReporter, NoTransactionHoldsMoreEntriesThanTheStoreTakes)
+{
+    // The load: many nodes, several of which started again within a window and wrote rows of each process.
+    constexpr size_t mostEntries = 100;
+    constexpr int rowsOfAWindow = 250;
+    usage_reporter reporter;
+    reporter.lastBegun = Usage::window_number { 99 };
+    size_t removed = 0;
+    for (int64_t now = 101 * windowMs + 2700; now < 140 * windowMs; now += 100) {
+        const auto step = nextStep(reporter, { now }, at(now));
+        if (!step)
+            continue;
+        if (const auto* read = std::get_if<read_counts>(&*step)) {
+            std::vector<Store::row> rows;
+            for (int node = 0; node < rowsOfAWindow; ++node)
+                rows.push_back(makeCounts(read->window, std::to_string(node).c_str(), 1));
+            takeCounts(reporter, read->window, makeAnswer(Store::call_outcome::Done, rows), at(now));
+        } else if (const auto* record = std::get_if<record_report>(&*step)) {
+            CHECK(record->transaction.conditions.size() + record->transaction.writes.size() + record->transaction.removals.size() <= mostEntries);
+            removed += record->transaction.removals.size();
+            takeRecorded(reporter, record->window, makeAnswer(Store::call_outcome::Done), at(now));
+        } else if (const auto* forget = std::get_if<forget_rows>(&*step)) {
+            CHECK(forget->transaction.removals.size() <= mostEntries);
+            removed += forget->transaction.removals.size();
+            takeForgotten(reporter, *forget, makeAnswer(Store::call_outcome::Done));
+        } else {
+            takeSent(reporter, std::get<send_report>(*step).window, true, at(now));
+        }
+    }
+    CHECK(reporter.obsolete.size() < rowsOfAWindow);
+    CHECK(removed >= 36 * rowsOfAWindow);
+}
+
 TEST(UsageReporter, CountsThatCannotBeReadAreLeftOut)
 {
     for (const char* text : { "", "[1]", "{\"a\":-1}", "{\"a\":\"x\"}" })
--- a/Source/Core/Control/UsageKeeper.cpp
+++ b/Source/Core/Control/UsageKeeper.cpp
@@ -51,6 +51,13 @@
             [&keeper, step](const Http::transfer_answer& answer) { takeUsageAnswer(keeper, step, answer); });
     }
 
+    void perform(usage_keeper& keeper, const forget_rows& step)
+    {
+        keeper.context.commit(step.transaction, [&keeper, step](const Store::rows_answer& answer) {
+            takeForgotten(keeper.reporter, step, answer);
+        });
+    }
+
 } // namespace
 
 void countBegun(usage_keeper& keeper, Common::instant now)
--- a/Source/Core/Control/UsageReporter.cpp
+++ b/Source/Core/Control/UsageReporter.cpp
@@ -1,5 +1,7 @@
 #include "Control/UsageReporter.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 namespace Control {
@@ -13,6 +15,8 @@
     constexpr milliseconds retryPause { 400 };
     /// A report that would be this late is not taken up any more.
     constexpr milliseconds lateReserve { 300 };
+    /// The store takes a hundred entries in a transaction; a few are left to the report itself.
+    constexpr size_t mostRemovals = 90;
 
     std::string windowKey(Usage::window_number window)
     {
@@ -38,7 +42,18 @@
         std::erase_if(reporter.pending, [oldest](const auto& entry) { return entry.first < oldest; });
     }
 
-    usage_step makeStep(const usage_reporter& reporter, Usage::window_number window, const window_report& report)
+    std::vector<Store::row_name> nextRemovals(const usage_reporter& reporter)
+    {
+        const size_t count = std::min(reporter.obsolete.size(), mostRemovals);
+        return { reporter.obsolete.begin(), reporter.obsolete.begin() + static_cast<std::ptrdiff_t>(count) };
+    }
+
+    void noteRemoved(usage_reporter& reporter, size_t count)
+    {
+        reporter.obsolete.erase(reporter.obsolete.begin(), reporter.obsolete.begin() + static_cast<std::ptrdiff_t>(count));
+    }
+
+    usage_step makeStep(const usage_reporter& reporter, Usage::window_number window, window_report& report)
     {
         switch (report.stage) {
         case report_stage::Collect:
@@ -48,7 +63,8 @@
             Store::transaction write;
             write.conditions.push_back({ name, {} });
             write.writes.push_back({ name, Usage::encodeCounts(report.counts) });
-            write.removals = reporter.obsolete;
+            write.removals = nextRemovals(reporter);
+            report.removals = write.removals.size();
             return record_report { window, std::move(write) };
         }
         case report_stage::Send:
@@ -81,7 +97,12 @@
         reporter.isCalling = true;
         return makeStep(reporter, window, report);
     }
-    return {};
+    if (reporter.obsolete.size() <= mostRemovals)
+        return {};
+    reporter.isCalling = true;
+    forget_rows step;
+    step.transaction.removals = nextRemovals(reporter);
+    return step;
 }
 
 void takeCounts(usage_reporter& reporter, Usage::window_number window, const Store::rows_answer& answer, Common::instant now)
@@ -114,7 +135,7 @@
         return;
     switch (answer.outcome) {
     case Store::call_outcome::Done:
-        reporter.obsolete.clear();
+        noteRemoved(reporter, report->removals);
         report->stage = report_stage::Send;
         return;
     case Store::call_outcome::ConditionFailed:
@@ -150,6 +171,13 @@
     reporter.pending.erase(window);
 }
 
+void takeForgotten(usage_reporter& reporter, const forget_rows& step, const Store::rows_answer& answer)
+{
+    reporter.isCalling = false;
+    if (answer.outcome == Store::call_outcome::Done)
+        noteRemoved(reporter, step.transaction.removals.size());
+}
+
 void resetReporter(usage_reporter& reporter)
 {
     reporter.pending.clear();
--- a/Source/Core/Control/UsageReporter.h
+++ b/Source/Core/Control/UsageReporter.h
@@ -26,6 +26,7 @@
     report_stage stage { report_stage::Collect };
     Usage::account_counts counts;
     std::vector<Store::row_name> countRows; ///< Of this window, to be removed once it is reported.
+    size_t removals { 0 }; ///< Of obsolete rows, written along with the report.
     Common::instant nextTry;
 };
 
@@ -56,7 +57,12 @@
     Usage::account_counts counts;
 };
 
-using usage_step = std::variant<read_counts, record_report, send_report>;
+/// Remove rows that are needed no more and were too many to go along with reports.
+struct forget_rows {
+    Store::transaction transaction;
+};
+
+using usage_step = std::variant<read_counts, record_report, send_report, forget_rows>;
 
 /// The row that a process writes its counts of a window to. A node that starts again counts from zero: its rows are kept
 /// apart from those of its earlier process.
@@ -74,6 +80,9 @@
 /// Takes the end of sending a report.
 void takeSent(usage_reporter& reporter, Usage::window_number window, bool isDone, Common::instant now);
 
+/// Takes the end of removing rows.
+void takeForgotten(usage_reporter& reporter, const forget_rows& step, const Store::rows_answer& answer);
+
 /// Another node holds the lease.
 void resetReporter(usage_reporter& reporter);
 
