Control: the pace of calls to the store is one pure function

Change: Pace says how often each node calls, by the number of nodes and the bounds. Test: CallsOfAllNodesStayFarBelowTheRatesAndInTheBounds, at 3 to 400 nodes.

--- a/Source/Core/Control/ControlContext.cpp
+++ b/Source/Core/Control/ControlContext.cpp
@@ -3,21 +3,8 @@
 #include "Common/BootClock.h"
 #include "Common/Metrics.h"
 
-#include <algorithm>
-
 namespace Control {
 
-namespace {
-
-    constexpr size_t nodesPerStretch = 20;
-
-} // namespace
-
-milliseconds stretched(milliseconds interval, size_t nodes)
-{
-    return interval * std::max<int64_t>(1, static_cast<int64_t>((nodes + nodesPerStretch - 1) / nodesPerStretch));
-}
-
 void control_context::call(Http::outgoing_request&& request, answer_handler onAnswer)
 {
     Common::countMetric("filbertreel_store_calls_total");
--- a/Source/Core/Control/ControlContext.h
+++ b/Source/Core/Control/ControlContext.h
@@ -4,19 +4,12 @@
 /// What the parts of the control duty share: the client to the platform, and what this node knows of the fleet.
 
 #include "Control/ControlDuty.h"
+#include "Control/Pace.h"
 #include "Control/TrueTime.h"
 #include "Lease/Lease.h"
 
 namespace Control {
 
-using std::chrono::milliseconds;
-
-/// The platform's store and the peers carry so many calls; with more nodes each calls less often.
-/// @param interval at up to twenty nodes.
-/// @param nodes that call.
-/// @return the interval for so many nodes.
-milliseconds stretched(milliseconds interval, size_t nodes);
-
 struct control_context {
     control_settings settings;
     Http::client client;
--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -20,17 +20,8 @@
 
     constexpr size_t ringCapacity = 4096;
     constexpr milliseconds longestPoll { 200 };
-    /// Waits of the feeds. A feed that fell silent is noticed soon after its wait; peers tell of newer catalogs and of
-    /// endpoints that leave besides, so with many nodes each may wait longer.
-    constexpr milliseconds catalogWait { 1500 };
-    constexpr milliseconds endpointWait { 1700 };
     constexpr milliseconds nodesWait { 8000 };
     constexpr milliseconds statusWait { 1500 };
-    constexpr milliseconds longestFeedWait { 3000 };
-    /// Endpoints and nodes often change several at a time.
-    constexpr milliseconds endpointPause { 250 };
-    constexpr milliseconds longestEndpointPause { 1500 };
-    constexpr milliseconds nodesPause { 1000 };
     /// So many nodes watch the lease closely; the others look now and then.
     constexpr size_t closeWatchers = 2;
     constexpr milliseconds closeWatchInterval { 1500 };
@@ -226,10 +217,11 @@
 
     void paceByNodes()
     {
-        operatorWatch.settings.longestWait = std::min(stretched(catalogWait, context.nodes.size()), longestFeedWait);
-        endpointWatch.settings.longestWait = std::min(stretched(endpointWait, context.nodes.size()), longestFeedWait);
-        endpointWatch.settings.pause = std::min(stretched(endpointPause, context.nodes.size()), longestEndpointPause);
-        nodeWatch.settings.pause = stretched(nodesPause, context.nodes.size());
+        const store_pace pace = paceFor(context.nodes.size(), context.settings.facts.bounds);
+        operatorWatch.settings.longestWait = pace.catalogWait;
+        endpointWatch.settings.longestWait = pace.endpointWait;
+        endpointWatch.settings.pause = pace.endpointPause;
+        nodeWatch.settings.pause = pace.nodesPause;
         context.lease.settings.watchInterval = ownRank() < closeWatchers ? closeWatchInterval : distantWatchInterval;
     }
 
@@ -433,11 +425,12 @@
     implementation& self = *m_implementation;
     self.context.settings = std::move(settings);
     self.outlets = std::move(outlets);
-    self.operatorWatch.settings = { self.context.settings.calls.operatorTable, catalogWait, {} };
-    self.endpointWatch.settings = { self.context.settings.calls.endpointTable, endpointWait, endpointPause };
+    const store_pace pace = paceFor(1, self.context.settings.facts.bounds);
+    self.operatorWatch.settings = { self.context.settings.calls.operatorTable, pace.catalogWait, {} };
+    self.endpointWatch.settings = { self.context.settings.calls.endpointTable, pace.endpointWait, pace.endpointPause };
     self.statusWatch.settings = { self.context.settings.calls.statusTable, statusWait, {} };
     self.rollouts = makeRolloutKeeper(self.context.settings.facts.bounds.exposureShare);
-    self.nodeWatch.settings = { nodeTable, nodesWait, nodesPause };
+    self.nodeWatch.settings = { nodeTable, nodesWait, pace.nodesPause };
     self.context.lease.settings.self = self.context.settings.self.node;
     self.context.lease.settings.duration = std::max(self.context.lease.settings.duration, self.context.settings.facts.bounds.lease + milliseconds(600));
     self.context.lease.lastNonce = self.context.settings.seed & ((uint64_t { 1 } << nonceBits) - 1);
--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Usage reports, true time and rollouts as the control duty keeps them.
 
+#include "Control/Pace.h"
 #include "Control/RolloutKeeper.h"
 #include "Control/TrueTime.h"
 #include "Control/UsageReporter.h"
@@ -146,6 +147,34 @@
         CHECK(!Usage::decodeCounts(text).has_value());
 }
 
+TEST_GROUP(Pace) {};
+
+TEST(Pace, CallsOfAllNodesStayFarBelowTheRatesAndInTheBounds)
+{
+    // The rates of the store that the letter's larger deployments state.
+    constexpr double readsPerSecond = 6000;
+    constexpr double writesPerSecond = 1200;
+    Fleet::service_bounds bounds;
+    bounds.drain = milliseconds(4000);
+    bounds.usageWindow = milliseconds(5000);
+    const auto perSecond = [](size_t nodes, milliseconds interval) { return static_cast<double>(nodes) * 1000 / static_cast<double>(interval.count()); };
+    double before = 0;
+    for (const size_t nodes : { 3, 7, 20, 82, 200, 400 }) {
+        const store_pace pace = paceFor(nodes, bounds);
+        // The worst moment: endpoints change all the time.
+        const double reads = perSecond(nodes, pace.catalogWait) + perSecond(nodes, std::min(pace.endpointPause, pace.endpointWait));
+        const double writes = perSecond(nodes, bounds.usageWindow) + (pace.countInterval < bounds.usageWindow ? perSecond(nodes, pace.countInterval) : 0);
+        CHECK(reads < readsPerSecond / 4);
+        CHECK(writes < writesPerSecond / 4);
+        CHECK(pace.endpointPause <= bounds.drain / 2);
+        CHECK(pace.catalogWait >= milliseconds(1500));
+        // More nodes never make more calls each.
+        constexpr double rounding = 1e-9;
+        CHECK(before == 0 || reads / static_cast<double>(nodes) <= before + rounding);
+        before = reads / static_cast<double>(nodes);
+    }
+}
+
 TEST_GROUP(TrueTime) {};
 
 TEST(TrueTime, ANodeWhoseTimeOfDayJumpedIsOutvoted)
--- a/Source/Core/Control/UsageKeeper.cpp
+++ b/Source/Core/Control/UsageKeeper.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    /// This node's counts of an unfinished window are written at this interval, for the case that it is killed.
-    constexpr milliseconds countWriteInterval { 1000 };
     /// After the end of a window its counts are written within this time.
     constexpr milliseconds lastCountDelay { 400 };
     constexpr milliseconds retryPause { 300 };
@@ -81,11 +79,14 @@
     const Usage::window_number currentWindow = Usage::windowOf(*trueNow, keeper.counter.windowLength);
     Usage::forgetBefore(keeper.counter, { currentWindow.value - keptWindows });
     const Fleet::node_entry& self = keeper.context.settings.self;
+    const milliseconds interval = paceFor(keeper.context.nodes.size(), keeper.context.settings.facts.bounds).countInterval;
+    // One node's part of a window is small where there are so many that each writes it once.
+    const bool writesUnfinished = interval < keeper.counter.windowLength && now >= keeper.nextWrite;
     Store::transaction write;
     std::map<Usage::window_number, Usage::account_counts> written;
     for (const Usage::window_number window : Usage::unwrittenWindows(keeper.counter)) {
         const bool isOver = trueNow->value > Usage::endOf(window, keeper.counter.windowLength).value + lastCountDelay.count();
-        if (!isOver && now < keeper.nextWrite)
+        if (!isOver && !writesUnfinished)
             continue;
         written[window] = keeper.counter.windows[window];
         write.writes.push_back({ countRow(window, self.node, self.incarnation), Usage::encodeCounts(keeper.counter.windows[window]) });
@@ -93,7 +94,7 @@
     if (write.writes.empty())
         return;
     keeper.isWriting = true;
-    keeper.nextWrite = now + stretched(countWriteInterval, keeper.context.nodes.size());
+    keeper.nextWrite = now + interval;
     keeper.context.commit(write, [&keeper, written](const Store::rows_answer& answer) {
         keeper.isWriting = false;
         if (answer.outcome != Store::call_outcome::Done) {
