--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -124,11 +124,24 @@
     /// @return whether all that will stand at the start have appeared.
     bool hasRegistered(starting_supply& starting, uint32_t count, Common::instant now)
     {
+        // What appears later was ordered.
+        if (starting.isComplete)
+            return true;
         if (count > starting.count) {
             starting.count = count;
             starting.grownAt = now;
         }
-        return starting.count > 0 && now - starting.grownAt >= registrationTime;
+        starting.isComplete = starting.count > 0 && now - starting.grownAt >= registrationTime;
+        return starting.isComplete;
+    }
+
+    /// Before there is any demand, nothing is in use that a smaller number would take away.
+    void followAtOnce(plan_memory& memory, const wanted_map& planned)
+    {
+        for (const auto& [item, count] : planned) {
+            memory.wanted[item] = count;
+            memory.lowerSince.erase(item);
+        }
     }
 
     /// What is in use is the first plan of a holder that has none yet.
@@ -185,7 +198,9 @@
             continue;
         input.startingCount = starting.count;
         const wanted_map planned = planEndpoints(service, input);
-        if (!input.demand.empty())
+        if (input.demand.empty())
+            followAtOnce(memory, planned);
+        else
             startFromSupply(memory, name, planned, input.supply);
         wanted.insert(planned.begin(), planned.end());
     }
--- a/Source/Core/Scaling/Plan.h
+++ b/Source/Core/Scaling/Plan.h
@@ -44,6 +44,7 @@
 struct starting_supply {
     uint32_t count { 0 }; ///< The most at one moment.
     Common::instant grownAt; ///< When the last of them appeared.
+    bool isComplete { false };
 };
 
 /// Remembers what makes the plan steady.
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -145,6 +145,12 @@
     for (int number = 0; number < 5; ++number)
         endpoints.erase(makeEndpoint(number, false).id);
     CHECK_EQUAL(sum(wanted, true), sum(plan(15300), true));
+    // Once the cheap ones stand, the others are given back without delay.
+    for (int number = 20; number < 29; ++number) {
+        Fleet::endpoint item = makeEndpoint(number, true);
+        endpoints.emplace(item.id, item);
+    }
+    CHECK_EQUAL(0, sum(plan(19000), false));
 }
 
 TEST(Plan, AnotherHolderDoesNotGiveBackAtOnceWhatIsInUse)
