--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -7,6 +7,7 @@
 #include "Common/Ring.h"
 #include "Control/ControlContext.h"
 #include "Control/EndpointOrders.h"
+#include "Control/NodeRows.h"
 #include "Control/RolloutKeeper.h"
 #include "Control/UsageKeeper.h"
 #include "Store/TableWatch.h"
@@ -27,7 +28,6 @@
     constexpr milliseconds closeWatchInterval { 1500 };
     constexpr milliseconds distantWatchInterval { 9000 };
     constexpr const char* nodeTable = "nodes";
-    constexpr milliseconds registerPause { 300 };
     constexpr uint64_t nonceBits = 48;
     constexpr milliseconds rolloutTickInterval { 200 };
 
@@ -44,18 +44,9 @@
 
     Store::table_watch operatorWatch;
     Store::table_watch endpointWatch;
-    Store::table_watch nodeWatch;
+    node_rows nodeRows { context };
     Store::table_watch statusWatch; ///< Followed only while a rollout is known.
     std::string catalogText; ///< In the platform's form, for peers that can't reach the store.
-    std::set<Common::node_id> deadNodes;
-    bool isRemovingNode { false };
-
-    bool isRegistered { false };
-    bool isRegistering { false };
-    bool isLeaving { false };
-    bool hasLeft { false }; ///< The row is gone for good.
-    Common::instant nextRegistration;
-
     bool wasHolder { false };
     rollout_keeper rollouts;
     Common::instant nextRolloutTick;
@@ -204,12 +195,7 @@
 
     void nodeRowsChanged()
     {
-        context.nodes.clear();
-        for (const auto& [key, item] : nodeWatch.rows)
-            context.nodes[{ key }] = Fleet::decodeNode({ key }, item.value);
-        // Another node has taken this one for dead.
-        if (isRegistered && !context.nodes.contains(context.settings.self.node))
-            isRegistered = false;
+        readNodeRows(nodeRows);
         paceByNodes();
         perform(judge(rollouts, Rollout::nodes_counted { context.nodes.size() }, Common::bootClockNow()));
         outlets.publishNodes(context.nodes);
@@ -221,7 +207,7 @@
         operatorWatch.settings.longestWait = pace.catalogWait;
         endpointWatch.settings.longestWait = pace.endpointWait;
         endpointWatch.settings.pause = pace.endpointPause;
-        nodeWatch.settings.pause = pace.nodesPause;
+        nodeRows.watch.settings.pause = pace.nodesPause;
         context.lease.settings.watchInterval = ownRank() < closeWatchers ? closeWatchInterval : distantWatchInterval;
     }
 
@@ -235,45 +221,6 @@
         }));
     }
 
-    /// Rows of nodes that ended without a word would hold back their share of the allowances for good.
-    void removeDeadNodes()
-    {
-        if (isRemovingNode)
-            return;
-        for (const Common::node_id& id : deadNodes) {
-            const auto known = nodeWatch.rows.find(id.value);
-            if (known == nodeWatch.rows.end() || id == context.settings.self.node)
-                continue;
-            isRemovingNode = true;
-            Store::transaction write;
-            write.conditions.push_back({ known->second.name, known->second.version });
-            write.removals.push_back(known->second.name);
-            Common::logEvent(Common::log_level::Info, "dead_node_removed", { { "member", id.value } });
-            return context.commit(write, [this](const Store::rows_answer&) { isRemovingNode = false; });
-        }
-    }
-
-    // --- This node's own row
-
-    void registerSelf(Common::instant now)
-    {
-        if (isRegistered || isRegistering || hasLeft || now < nextRegistration)
-            return;
-        if (!context.storeClock)
-            return;
-        isRegistering = true;
-        context.settings.self.isLeaving = isLeaving;
-        context.settings.self.clockOffset = Common::wallClockMilliseconds() - trueTimeAt(*context.storeClock, 0, now).value;
-        Store::transaction write;
-        write.writes.push_back({ { nodeTable, "", context.settings.self.node.value }, Fleet::encodeNode(context.settings.self) });
-        const bool told = isLeaving;
-        context.commit(write, [this, told](const Store::rows_answer& answer) {
-            isRegistering = false;
-            isRegistered = answer.outcome == Store::call_outcome::Done && told == isLeaving;
-            nextRegistration = Common::bootClockNow() + registerPause;
-        });
-    }
-
     // --- The lease
 
     void keepLease(Common::instant now)
@@ -311,7 +258,7 @@
         reportUsage(usage, now);
         orderEndpoints(orders, now);
         reportRollouts();
-        removeDeadNodes();
+        removeDeadNodes(nodeRows);
     }
 
     // --- Messages
@@ -362,22 +309,17 @@
 
     void take(dead_nodes_known&& message)
     {
-        deadNodes = std::move(message.nodes);
+        nodeRows.deadNodes = std::move(message.nodes);
     }
 
     void take(leave_ended&&)
     {
-        hasLeft = true;
-        Store::transaction write;
-        write.removals.push_back({ nodeTable, "", context.settings.self.node.value });
-        context.commit(write, [](const Store::rows_answer&) {});
+        removeSelf(nodeRows);
     }
 
     void take(leave_begun&&)
     {
-        isLeaving = true;
-        isRegistered = false;
-        nextRegistration = {};
+        noteLeaveBegun(nodeRows);
         context.lease.isResigning = true;
     }
 
@@ -406,12 +348,12 @@
         const Common::instant now = Common::bootClockNow();
         follow(operatorWatch, &implementation::operatorRowsChanged);
         follow(endpointWatch, &implementation::endpointRowsChanged);
-        follow(nodeWatch, &implementation::nodeRowsChanged);
+        follow(nodeRows.watch, &implementation::nodeRowsChanged);
         if (isActive(rollouts))
             follow(statusWatch, &implementation::statusRowsChanged);
         tickRollouts(now);
         dropMissingEndpoints(now);
-        registerSelf(now);
+        registerSelf(nodeRows, now);
         countBegun(usage, now);
         writeCounts(usage, now);
         keepLease(now);
@@ -430,7 +372,7 @@
     self.endpointWatch.settings = { self.context.settings.calls.endpointTable, pace.endpointWait, pace.endpointPause };
     self.statusWatch.settings = { self.context.settings.calls.statusTable, statusWait, {} };
     self.rollouts = makeRolloutKeeper(self.context.settings.facts.bounds.exposureShare);
-    self.nodeWatch.settings = { nodeTable, nodesWait, pace.nodesPause };
+    self.nodeRows.watch.settings = { nodeTable, nodesWait, pace.nodesPause };
     self.context.lease.settings.self = self.context.settings.self.node;
     self.context.lease.settings.duration = std::max(self.context.lease.settings.duration, self.context.settings.facts.bounds.lease + milliseconds(600));
     self.context.lease.lastNonce = self.context.settings.seed & ((uint64_t { 1 } << nonceBits) - 1);
--- /dev/null
+++ b/Source/Core/Control/NodeRows.cpp
@@ -0,0 +1,81 @@
+#include "Control/NodeRows.h"
+
+#include "Common/BootClock.h"
+#include "Common/Log.h"
+
+namespace Control {
+
+namespace {
+
+    constexpr milliseconds registerPause { 300 };
+
+    Store::row_name rowOf(const node_rows& rows, const Common::node_id& node)
+    {
+        return { rows.watch.settings.table, "", node.value };
+    }
+
+} // namespace
+
+void readNodeRows(node_rows& rows)
+{
+    control_context& context = rows.context;
+    context.nodes.clear();
+    for (const auto& [key, item] : rows.watch.rows)
+        context.nodes[{ key }] = Fleet::decodeNode({ key }, item.value);
+    // Another node has taken this one for dead.
+    if (rows.isRegistered && !context.nodes.contains(context.settings.self.node))
+        rows.isRegistered = false;
+}
+
+void registerSelf(node_rows& rows, Common::instant now)
+{
+    control_context& context = rows.context;
+    if (rows.isRegistered || rows.isRegistering || rows.hasLeft || now < rows.nextRegistration || !context.storeClock)
+        return;
+    rows.isRegistering = true;
+    Fleet::node_entry& self = context.settings.self;
+    self.isLeaving = rows.isLeaving;
+    self.clockOffset = Common::wallClockMilliseconds() - trueTimeAt(*context.storeClock, 0, now).value;
+    Store::transaction write;
+    write.writes.push_back({ rowOf(rows, self.node), Fleet::encodeNode(self) });
+    const bool told = rows.isLeaving;
+    context.commit(write, [&rows, told](const Store::rows_answer& answer) {
+        rows.isRegistering = false;
+        rows.isRegistered = answer.outcome == Store::call_outcome::Done && told == rows.isLeaving;
+        rows.nextRegistration = Common::bootClockNow() + registerPause;
+    });
+}
+
+void noteLeaveBegun(node_rows& rows)
+{
+    rows.isLeaving = true;
+    rows.isRegistered = false;
+    rows.nextRegistration = {};
+}
+
+void removeSelf(node_rows& rows)
+{
+    rows.hasLeft = true;
+    Store::transaction write;
+    write.removals.push_back(rowOf(rows, rows.context.settings.self.node));
+    rows.context.commit(write, [](const Store::rows_answer&) {});
+}
+
+void removeDeadNodes(node_rows& rows)
+{
+    if (rows.isRemovingNode)
+        return;
+    for (const Common::node_id& id : rows.deadNodes) {
+        const auto known = rows.watch.rows.find(id.value);
+        if (known == rows.watch.rows.end() || id == rows.context.settings.self.node)
+            continue;
+        rows.isRemovingNode = true;
+        Store::transaction write;
+        write.conditions.push_back({ known->second.name, known->second.version });
+        write.removals.push_back(known->second.name);
+        Common::logEvent(Common::log_level::Info, "dead_node_removed", { { "member", id.value } });
+        return rows.context.commit(write, [&rows](const Store::rows_answer&) { rows.isRemovingNode = false; });
+    }
+}
+
+} // namespace Control
