Fleet registration is taken as complete after 1.3 s without another entry

Ruled out: the assumed part of busy engines: the plan log shows 2.4 to 3.1 of 9 busy in the first seconds on the standard site, 26 to 38 of 90 on the grown one, against 0.4 assumed. Change: endpoints renew their entries every second; one such interval and its delays are waited for, not two.

--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -13,8 +13,8 @@
     constexpr double reclaimableFactor = 1.5;
     /// While no demand is known, the endpoints present are taken to be this busy.
     constexpr double assumedBusyPart = 0.4;
-    /// Endpoints write their entries about every second: none has appeared for two of them when all have.
-    constexpr milliseconds registrationTime { 2000 };
+    /// Endpoints write their entries about every second: when none has appeared for a little longer, all have.
+    constexpr milliseconds registrationTime { 1300 };
     constexpr milliseconds retryPause { 500 };
     /// A confirmed number is ordered again after this time, should it have been lost.
     constexpr milliseconds renewPause { 20000 };
