A node that starts while its settings file is being replaced waits for a readable one

While it runs it keeps the last good values; at the start it has none. Ruled out: a crash (the log ends with the faults of the file). Change: at the start the file is looked at again every 0.2 s for ten seconds; SIGTERM ends the wait. Test: PlatformNode ANodeThatStartsWhileItsSettingsAreReplacedWaitsForThem, red without the mend.

--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -34,6 +34,10 @@
 /// @return the time between two reports: every node tells every other, so with more nodes each tells less often.
 milliseconds reportWait(const gateway_state& state);
 
+/// Takes what another duty tells.
+/// @param state changed in place.
+/// @param message the news; a catalog that is no newer changes nothing.
+/// @param now the present time.
 void learn(gateway_state& state, const catalog_known& message, Common::instant now);
 void learn(gateway_state& state, const endpoints_known& message, Common::instant now);
 void learn(gateway_state& state, const peers_known& message, Common::instant now);
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -352,6 +352,23 @@
         return signals;
     }
 
+    /// A file that is being replaced while the process starts is readable a moment later.
+    std::optional<Fleet::node_facts> awaitFacts(settings_source& source, const sigset_t& signals)
+    {
+        constexpr timespec pause { 0, 200'000'000 };
+        constexpr int mostTries = 50;
+        auto facts = readFacts(source);
+        for (int tries = 0; !facts && tries < mostTries; ++tries) {
+            const int signal = sigtimedwait(&signals, nullptr, &pause);
+            if (signal == SIGTERM || signal == SIGINT)
+                return {};
+            const auto text = PlatformAdapter::readSettingsFile(source.path);
+            if (text && *text != source.text)
+                facts = readFacts(source);
+        }
+        return facts;
+    }
+
     void reloadWhenChanged(settings_source& source, platform_node& node)
     {
         const auto text = PlatformAdapter::readSettingsFile(source.path);
@@ -373,7 +390,7 @@
     const char* path = std::getenv(PlatformAdapter::settingsPathVariable);
     settings_source source { path ? path : "", {} };
     Common::startLogging("starting", Common::log_level::Info);
-    const auto facts = readFacts(source);
+    const auto facts = awaitFacts(source, signals);
     if (!facts) {
         Common::flushLogs();
         return exitBadSettings;
--- a/Tests/Platform/NodeTest.cpp
+++ b/Tests/Platform/NodeTest.cpp
@@ -150,3 +150,17 @@
     CHECK_EQUAL(200, node.readiness());
     CHECK(Harness::isRunning(node.child));
 }
+
+TEST(PlatformNode, ANodeThatStartsWhileItsSettingsAreReplacedWaitsForThem)
+{
+    store_stand_in store;
+    store.put("op", "config", makeManifest(3, "k1"));
+    running_node node({ .storeAddress = store.address() });
+    CHECK(eventually([&] { return node.readiness() == 200; }));
+    Harness::killProcess(node.child);
+    node.startAgain("bounds.drainMs=soon\n");
+    CHECK(eventually([&] { return node.log().find("settings_unreadable") != std::string::npos; }));
+    CHECK(Harness::isRunning(node.child));
+    node.writeSettings("");
+    CHECK(eventually([&] { return node.readiness() == 200; }));
+}
--- a/Tests/Platform/RunningNode.cpp
+++ b/Tests/Platform/RunningNode.cpp
@@ -26,9 +26,9 @@
     std::filesystem::remove_all(m_folder);
 }
 
-void running_node::startAgain()
+void running_node::startAgain(const std::string& more)
 {
-    writeSettings("");
+    writeSettings(more);
     m_loggedBefore = log().size();
     child = Harness::startProcess({ NODE_PROGRAM, "platform-node" }, { "FILBERTREEL_NODE_FILE=" + settingsPath() }, logPath());
     m_isFirstStart = false;
--- a/Tests/Platform/RunningNode.h
+++ b/Tests/Platform/RunningNode.h
@@ -30,7 +30,8 @@
     running_node& operator=(const running_node&) = delete;
 
     /// Starts the node once more, as the platform does after its process ended.
-    void startAgain();
+    /// @param more lines at the end of its settings file.
+    void startAgain(const std::string& more = "");
     /// Renews the settings file.
     /// @param more lines at its end.
     void writeSettings(const std::string& more) const;
