The fleet's registration is awaited for an entry interval and a reading interval

With 82 nodes a node reads of endpoints only every 2 s, so that "none has appeared for 1.3 s" holds between any two reads. Ruled out: nothing else changed before traffic (owners of prompt parts and retries act later). Change: the wait is 1.3 s and the interval between two reads of that many nodes (1.55 s at 7 nodes, 3.3 s at 82). Test: NothingIsOrderedBeforeTheFleetHasRegistered now reads every 2.2 s, as such a node does; red with a wait of 1.3 s by its second check.

--- a/Source/Core/Control/EndpointOrders.cpp
+++ b/Source/Core/Control/EndpointOrders.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr milliseconds planInterval { 300 };
+    /// Endpoints write their entries about every second.
+    constexpr milliseconds entryInterval { 1300 };
     constexpr size_t loggedAnswerBytes = 100;
 
     void logPlan(const endpoint_orders& item, Common::instant now)
@@ -25,8 +27,9 @@
 
     void planAll(endpoint_orders& item, Common::instant now)
     {
+        const store_pace pace = paceFor(item.context.nodes.size(), item.context.settings.facts.bounds);
         const Scaling::wanted_map before = item.memory.wanted;
-        const Scaling::wanted_map wanted = Scaling::planServices(*item.context.catalog, item.context.endpoints.endpoints, item.demand, item.orders, item.memory, now);
+        const Scaling::wanted_map wanted = Scaling::planServices(*item.context.catalog, item.context.endpoints.endpoints, item.demand, item.orders, item.memory, entryInterval + pace.endpointPause, now);
         if (wanted != before)
             logPlan(item, now);
     }
--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -13,8 +13,6 @@
     constexpr double reclaimableFactor = 1.5;
     /// While no demand is known, the endpoints present are taken to be this busy.
     constexpr double assumedBusyPart = 0.4;
-    /// Endpoints write their entries about every second: when none has appeared for a little longer, all have.
-    constexpr milliseconds registrationTime { 1300 };
     constexpr milliseconds retryPause { 500 };
     /// A confirmed number is ordered again after this time, should it have been lost.
     constexpr milliseconds renewPause { 20000 };
@@ -122,7 +120,7 @@
 
     /// Follows the endpoints of a service while no demand is known.
     /// @return whether all that will stand at the start have appeared.
-    bool hasRegistered(starting_supply& starting, uint32_t count, Common::instant now)
+    bool hasRegistered(starting_supply& starting, uint32_t count, milliseconds registrationTime, Common::instant now)
     {
         // What appears later was ordered.
         if (starting.isComplete)
@@ -183,7 +181,7 @@
     return wanted;
 }
 
-wanted_map planServices(const Catalog::catalog& catalog, const Fleet::endpoint_map& endpoints, const demand_book& demand, const order_book& orders, plan_memory& memory, Common::instant now)
+wanted_map planServices(const Catalog::catalog& catalog, const Fleet::endpoint_map& endpoints, const demand_book& demand, const order_book& orders, plan_memory& memory, milliseconds registrationTime, Common::instant now)
 {
     wanted_map wanted;
     for (const auto& [name, service] : catalog.services) {
@@ -194,7 +192,7 @@
         input.supply = countSupply(endpoints, name);
         input.exhausted = exhaustedZones(orders, name, now);
         starting_supply& starting = memory.starting[name];
-        if (input.demand.empty() && !hasRegistered(starting, totalOf(input.supply), now))
+        if (input.demand.empty() && !hasRegistered(starting, totalOf(input.supply), registrationTime, now))
             continue;
         input.startingCount = starting.count;
         const wanted_map planned = planEndpoints(service, input);
--- a/Source/Core/Scaling/Plan.h
+++ b/Source/Core/Scaling/Plan.h
@@ -73,9 +73,11 @@
 /// @param demand as the nodes have told it.
 /// @param orders given so far.
 /// @param memory changed in place.
+/// @param registrationTime when no endpoint has appeared for so long at the start, all have: the interval at which they
+/// write their entries, and the one at which this node reads them.
 /// @param now the present time.
 /// @return the numbers to order.
-wanted_map planServices(const Catalog::catalog& catalog, const Fleet::endpoint_map& endpoints, const demand_book& demand, const order_book& orders, plan_memory& memory, Common::instant now);
+wanted_map planServices(const Catalog::catalog& catalog, const Fleet::endpoint_map& endpoints, const demand_book& demand, const order_book& orders, plan_memory& memory, milliseconds registrationTime, Common::instant now);
 
 /// Lets numbers rise at once and fall only after a while.
 /// @param memory changed in place.
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -130,21 +130,24 @@
     catalog.services.emplace(Common::service_name { "s" }, makeService());
     plan_memory memory;
     Fleet::endpoint_map endpoints;
-    const auto plan = [&](int ms) { return planServices(catalog, endpoints, {}, {}, memory, at(ms)); };
+    const auto plan = [&](int ms) { return planServices(catalog, endpoints, {}, {}, memory, milliseconds(3300), at(ms)); };
     CHECK(plan(0).empty());
     CHECK(plan(10000).empty());
+    // With many nodes each reads of them every two seconds and more.
     for (int number = 0; number < 9; ++number) {
         Fleet::endpoint item = makeEndpoint(number, false);
         endpoints.emplace(item.id, item);
-        CHECK(plan(10000 + number * 300).empty());
+        const int readAt = 10000 + number / 3 * 2200;
+        CHECK(plan(readAt).empty());
+        CHECK(plan(readAt + 2100).empty());
     }
-    const wanted_map wanted = plan(15000);
+    const wanted_map wanted = plan(18000);
     CHECK(sum(wanted, false) >= 4);
     CHECK(sum(wanted, true) >= 6);
     // Endpoints that are given back since are no measure of the demand.
     for (int number = 0; number < 5; ++number)
         endpoints.erase(makeEndpoint(number, false).id);
-    CHECK_EQUAL(sum(wanted, true), sum(plan(15300), true));
+    CHECK_EQUAL(sum(wanted, true), sum(plan(18300), true));
     // Once the cheap ones stand, the others are given back without delay.
     for (int number = 20; number < 29; ++number) {
         Fleet::endpoint item = makeEndpoint(number, true);
@@ -166,8 +169,8 @@
     demand_book demand;
     noteDemand(demand, { { "n" }, { "a" }, { { { "s" }, 20 } }, milliseconds(250) }, at(0));
     plan_memory memory;
-    CHECK_EQUAL(12, sum(planServices(catalog, endpoints, demand, {}, memory, at(0)), true));
-    CHECK_EQUAL(12, sum(planServices(catalog, endpoints, demand, {}, memory, at(2000)), true));
+    CHECK_EQUAL(12, sum(planServices(catalog, endpoints, demand, {}, memory, milliseconds(3300), at(0)), true));
+    CHECK_EQUAL(12, sum(planServices(catalog, endpoints, demand, {}, memory, milliseconds(3300), at(2000)), true));
 }
 
 TEST(Plan, OrdersAreRepeatedUntilConfirmedAndAfterALoss)
