A leaving node closes connections from the moment its readiness turns; a returning lease holder plans anew

Cause: on SIGTERM the readiness was turned before the gateway had its message, so that a caller who saw the 503 could still get an answer that keeps its connection. Change: the gateway turns the readiness itself, once every later response closes its connection. Test with a gateway whose thread is held up for 300 ms (PlatformGateway).

Cause: plan_state survived the loss of the lease; a node that held it again used numbers of its earlier tenure and a lowerSince of long ago, so it could order fewer endpoints than are in use at once. Change: counts and pending decreases go with the orders.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -248,7 +248,7 @@
         wasHolder = context.lease.isHeld;
         // The previous holder may have sent orders and reports.
         if (context.lease.isHeld) {
-            Scaling::clearOrders(orders.orders);
+            Scaling::resetForNewTenure(orders.planState, orders.orders);
             resetReporter(usage.reporter);
         }
         Common::logEvent(Common::log_level::Info, context.lease.isHeld ? "lease_taken" : "lease_lost", { { "fence", context.lease.fence.value } });
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -422,6 +422,8 @@
         if (isLeaving())
             return;
         applyMessage(state, message, clockNow());
+        if (outlets.leaveStarted)
+            outlets.leaveStarted();
         leaveTimer.expires_after(std::chrono::duration_cast<milliseconds>(state.grace * acceptingShareOfGrace));
         leaveTimer.async_wait([this](const error_code& error) {
             if (error)
--- a/Source/Core/Gateway/GatewayDuty.h
+++ b/Source/Core/Gateway/GatewayDuty.h
@@ -17,6 +17,8 @@
 struct gateway_outlets {
     std::function<void(interval_report&&)> report; ///< Called once per report interval.
     std::function<void(attempt_report&&)> reportAttempt; ///< Only for services with a rollout; may be empty.
+    /// The node leaves, and every later response closes its connection; may be empty.
+    std::function<void()> leaveStarted;
 };
 
 struct gateway_settings {
--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -273,10 +273,12 @@
         known->second.nextTry = std::min(known->second.nextTry, now);
 }
 
-void clearOrders(order_tracker& state)
+void resetForNewTenure(plan_state& planState, order_tracker& orders)
 {
-    state.orders.clear();
-    state.current.reset();
+    planState.wanted.clear();
+    planState.lowerSince.clear();
+    orders.orders.clear();
+    orders.current.reset();
 }
 
 } // namespace Scaling
--- a/Source/Core/Scaling/Plan.h
+++ b/Source/Core/Scaling/Plan.h
@@ -116,7 +116,10 @@
 /// Makes the order of a lost endpoint due at once, to replace the endpoint.
 void recordEndpointLoss(order_tracker& state, const order_target& target, Common::instant now);
 
-/// Drops all orders. Needed when another node may have issued orders since.
-void clearOrders(order_tracker& state);
+/// Drops the planned counts and the orders of an earlier tenure as lease holder: another node may have ordered since, so
+/// the next plan starts from the existing endpoints. What is known of the initial endpoints stays valid.
+/// @param planState its counts and pending decreases are dropped.
+/// @param orders emptied.
+void resetForNewTenure(plan_state& planState, order_tracker& orders);
 
 } // namespace Scaling
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -176,6 +176,31 @@
     CHECK_EQUAL(12, sum(planServices(catalog, endpoints, demand, {}, planState, milliseconds(3300), at(2000)), true));
 }
 
+TEST(Plan, AHolderThatReturnsIgnoresThePlanOfItsEarlierTenure)
+{
+    // The node planned two endpoints in zone a, lost the lease while that number was about to fall, and holds it again
+    // after another holder has ordered four for callers that are still there.
+    Catalog::catalog catalog;
+    catalog.services.emplace(Common::service_name { "s" }, makeService());
+    const order_target target { { "s" }, { "a" }, true };
+    plan_state planState;
+    order_tracker orders;
+    delayDecreases(planState, { { target, 2 } }, at(0));
+    delayDecreases(planState, { { target, 1 } }, at(100));
+    CHECK(nextOrder(orders, planState.wanted, at(100)).has_value());
+    Fleet::endpoint_map endpoints;
+    for (int number = 0; number < 12; ++number) {
+        Fleet::endpoint item = makeEndpoint(number, true);
+        endpoints.emplace(item.id, item);
+    }
+    demand_tracker demand;
+    recordDemand(demand, { { "n" }, { "a" }, { { { "s" }, 20 } }, milliseconds(250) }, at(60000));
+    resetForNewTenure(planState, orders);
+    CHECK(!orders.current);
+    CHECK_EQUAL(4, planServices(catalog, endpoints, demand, orders, planState, milliseconds(3300), at(60000))[target]);
+    CHECK_EQUAL(4, planServices(catalog, endpoints, demand, orders, planState, milliseconds(3300), at(62000))[target]);
+}
+
 TEST(Plan, OrdersAreRepeatedUntilConfirmedAndAfterALoss)
 {
     order_tracker orders;
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -113,6 +113,9 @@
             static_cast<void>(control.submit(Control::gateway_interval_reported { std::move(report) }));
         };
         outlets.reportAttempt = [this](Gateway::attempt_report&& seen) { static_cast<void>(control.submit(std::move(seen))); };
+        // The readiness changes after the gateway has been told: a caller that sees it must not get a response that
+        // keeps its connection open.
+        outlets.leaveStarted = [this] { directory.setReady(false); };
         return outlets;
     }
 
@@ -286,9 +289,11 @@
     const milliseconds grace = self.facts.bounds.grace;
     Common::logEvent(Common::log_level::Info, "node_leaving", { { "grace_ms", grace.count() } });
     self.isLeaving = true;
-    self.directory.setReady(false);
+    if (!self.gateway.submit(Gateway::leave_started {})) {
+        Common::logEvent(Common::log_level::Warning, "message_dropped", { { "message", "leave_started" }, { "duty", "gateway" } });
+        self.directory.setReady(false);
+    }
     static_cast<void>(self.control.submit(Control::leave_started {}));
-    static_cast<void>(self.gateway.submit(Gateway::leave_started {}));
     static_cast<void>(self.peers.submit(Membership::leave_started {}));
     const auto elapsedShare = [&] { return (std::chrono::steady_clock::now() - leaveStart) / std::chrono::duration<double>(grace); };
     while (elapsedShare() < minLeaveShareOfGrace)
--- a/Tests/Platform/GatewayTest.cpp
+++ b/Tests/Platform/GatewayTest.cpp
@@ -71,14 +71,14 @@
     std::unique_ptr<Gateway::gateway_duty> duty;
     std::thread thread;
 
-    explicit running_gateway(const std::vector<std::vector<scripted_answer>>& scripts, bool hasCatalog = true)
+    explicit running_gateway(const std::vector<std::vector<scripted_answer>>& scripts, bool hasCatalog = true, Gateway::gateway_outlets outlets = { [](Gateway::interval_report&&) {}, {}, {} })
     {
         Gateway::gateway_settings settings;
         settings.facts.listen.callers = "127.0.0.1:" + std::to_string(port);
         settings.facts.zone = { "z" };
         settings.facts.isFirstStart = true;
         settings.wire = PlatformAdapter::makeWireFormat();
-        duty = std::make_unique<Gateway::gateway_duty>(settings, Gateway::gateway_outlets { [](Gateway::interval_report&&) {}, {} });
+        duty = std::make_unique<Gateway::gateway_duty>(settings, std::move(outlets));
         Gateway::endpoints_update message;
         for (const auto& script : scripts) {
             endpoints.push_back(std::make_unique<scripted_endpoint>(script));
@@ -326,3 +326,30 @@
         CHECK(caller.receive().ends_with("hello"));
     }
 }
+
+TEST(PlatformGateway, ResponsesCloseTheirConnectionOnceTheLeaveIsReported)
+{
+    // The gateway's thread is busy when the node is told to leave. A caller that learns of the leave must get
+    // "Connection: close" although the message was delayed.
+    std::atomic<bool> isHeldUp { false };
+    std::atomic<bool> hasReportedLeave { false };
+    Gateway::gateway_outlets outlets;
+    outlets.report = [&isHeldUp](Gateway::interval_report&&) {
+        if (isHeldUp)
+            std::this_thread::sleep_for(milliseconds(300));
+    };
+    outlets.leaveStarted = [&hasReportedLeave] { hasReportedLeave = true; };
+    running_gateway gateway({ { { completeAnswer, answer_end::Keep } } }, true, outlets);
+    raw_caller kept(gateway.port);
+    kept.send(makeRequest("/idem/x"));
+    CHECK(kept.receive().find("Connection: close") == std::string::npos);
+    isHeldUp = true;
+    std::this_thread::sleep_for(milliseconds(260));
+    CHECK(gateway.duty->submit(Gateway::leave_started {}));
+    while (!hasReportedLeave)
+        std::this_thread::sleep_for(milliseconds(1));
+    kept.send(makeRequest("/idem/x"));
+    const std::string answer = kept.receive();
+    CHECK_EQUAL(200, statusOf(answer));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+}
