One relay a zone reads the store's tables; the other nodes get its changes

Change: in each zone the node of best rank (larger machines first) follows the store and sends its changes, with the version that they follow on and the store's time of the confirmation, to the zone's other nodes. A silent relay is replaced by the next in rank. The holder of the lease still reads the endpoints itself.

Besides: a node's demand was dropped 2.5 s after its report, though 295 nodes report every 3.5 s; it now counts for two intervals.

Ruled out: pushing by each node that sees a change (a reader is still needed everywhere); age as told by the sender (a message that was held up would make an old state look new: the store's time does not).

Tests: TableRelayTest plays 49 nodes with a store on a virtual clock: no fault, lost messages (3% and 30%), the relay killed, the relay cut from the store: copies equal, changes in all copies within the drain bound, calls counted.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -9,10 +9,12 @@
 #include "Control/EndpointOrders.h"
 #include "Control/NodeRows.h"
 #include "Control/RolloutTracker.h"
+#include "Control/TableRelay.h"
 #include "Control/UsageTracker.h"
 #include "Store/TableWatch.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 
 namespace Control {
@@ -21,13 +23,6 @@
 
     constexpr size_t ringCapacity = 4096;
     constexpr milliseconds maxPollTime { 200 };
-    constexpr milliseconds nodeTableWait { 8000 };
-    constexpr milliseconds statusTableWait { 1500 };
-    /// Number of nodes that poll the lease at the short interval to take it over soon after it lapses. The others poll
-    /// rarely, to limit the reads of the store.
-    constexpr size_t frequentWatchers = 2;
-    constexpr milliseconds frequentWatchInterval { 1500 };
-    constexpr milliseconds rareWatchInterval { 9000 };
     constexpr const char* nodeTable = "nodes";
     constexpr uint64_t nonceBits = 48;
     constexpr milliseconds rolloutTickInterval { 200 };
@@ -47,6 +42,7 @@
     Store::table_watch endpointWatch;
     node_rows nodeRows { context };
     Store::table_watch statusWatch; ///< Polled only while a rollout is in progress.
+    table_relay relay;
     std::string catalogText; ///< The catalog in the platform's format, for peers that can't reach the store.
     bool wasHolder { false };
     rollout_tracker rollouts;
@@ -64,6 +60,7 @@
             : context.settings.calls.changes(context.storeAddress(), std::get<Store::change_query>(*query));
         context.call(std::move(request), [this, &watch, onChange](const Store::rows_answer& answer) {
             const Store::watch_event event = Store::handleAnswer(watch, answer, Common::bootClockNow());
+            recordAnswer(relay, watch, answer, event, Common::bootClockNow());
             handleWatchEvent(watch, event);
             if (event.hasChanged)
                 (this->*onChange)();
@@ -197,6 +194,7 @@
     void nodeRowsChanged()
     {
         readNodeRows(nodeRows);
+        relay.ranking = rankRelays(context.nodes, context.settings.self.zone);
         updateCallIntervals();
         perform(evaluate(rollouts, Rollout::node_count_changed { context.nodes.size() }, Common::bootClockNow()));
         outlets.publishNodes(context.nodes);
@@ -205,13 +203,84 @@
     void updateCallIntervals()
     {
         const store_call_intervals intervals = callIntervalsFor(context.nodes.size(), context.settings.facts.bounds);
-        operatorWatch.settings.maxWait = intervals.catalogWait;
-        endpointWatch.settings.maxWait = intervals.endpointWait;
-        endpointWatch.settings.pause = intervals.endpointBatchDelay;
-        nodeRows.watch.settings.pause = intervals.nodeBatchDelay;
-        for (Store::table_watch* watch : { &operatorWatch, &endpointWatch, &nodeRows.watch, &statusWatch })
+        applyIntervals(operatorWatch, intervals.catalog, relay.isRelay);
+        // The lease holder orders endpoints, so it needs their newest state.
+        applyIntervals(endpointWatch, intervals.endpoints, relay.isRelay || context.lease.isHeld);
+        applyIntervals(nodeRows.watch, intervals.nodes, relay.isRelay);
+        applyIntervals(statusWatch, intervals.statuses, relay.isRelay);
+        for (Store::table_watch* watch : followedTables())
             watch->settings.maxRetryDelay = intervals.maxRetryDelay;
-        context.lease.settings.watchInterval = leaseWatchRank() < frequentWatchers ? frequentWatchInterval : rareWatchInterval;
+        context.lease.settings.watchInterval = leaseWatchInterval(leaseWatchRank());
+    }
+
+    static void applyIntervals(Store::table_watch& watch, const read_intervals& intervals, bool readsStore)
+    {
+        watch.settings.maxWait = readsStore ? intervals.maxWait : milliseconds(0);
+        watch.settings.pause = intervals.pause;
+        watch.settings.maxAge = readsStore ? milliseconds(0) : intervals.maxAge;
+        if (readsStore && !watch.isFailing)
+            watch.nextCall = std::min(watch.nextCall, Common::bootClockNow());
+    }
+
+    std::array<Store::table_watch*, 4> followedTables()
+    {
+        return { &operatorWatch, &endpointWatch, &nodeRows.watch, &statusWatch };
+    }
+
+    // --- Relaying of the tables in this zone
+
+    void updateRelayRole(Common::instant now)
+    {
+        if (!updateRole(relay, context.settings.self.node, now))
+            return;
+        Common::logEvent(Common::log_level::Info, "relay_role_changed", { { "is_relay", relay.isRelay }, { "zone_nodes", relay.ranking.size() } });
+        const auto tables = followedTables();
+        resetOutboxes(relay, { tables.begin(), tables.end() });
+        updateCallIntervals();
+    }
+
+    void relayChanges(Common::instant now)
+    {
+        const auto tables = followedTables();
+        auto announcements = takeAnnouncements(relay, { tables.begin(), tables.end() }, now);
+        std::vector<Common::node_id> receivers;
+        for (const auto& [id, entry] : context.nodes) {
+            if (id != context.settings.self.node && entry.zone == context.settings.self.zone)
+                receivers.push_back(id);
+        }
+        if (!announcements.empty() && !receivers.empty())
+            outlets.relayChanges(std::move(receivers), std::move(announcements));
+    }
+
+    void handle(table_changes_received&& message)
+    {
+        const Common::instant now = Common::bootClockNow();
+        recordRelayHeard(relay, context.settings.self.node, message.from, now);
+        // A relay has its own copies from the store; another one's changes would leave gaps in what it sends.
+        if (relay.isRelay || !context.storeClock)
+            return;
+        for (const Store::relayed_changes& changes : message.tables)
+            applyTableChanges(changes, now);
+    }
+
+    void applyTableChanges(const Store::relayed_changes& changes, Common::instant now)
+    {
+        const Common::instant confirmedAt = localTimeOf(*context.storeClock, changes.confirmedAt);
+        if (changes.table == endpointWatch.settings.table) {
+            if (changes.returnedAt.value > 0)
+                Fleet::startMissingEntryGrace(context.endpoints, localTimeOf(*context.storeClock, changes.returnedAt));
+            if (Store::applyRelayed(endpointWatch, changes, confirmedAt, now))
+                endpointRowsChanged();
+        } else if (changes.table == operatorWatch.settings.table) {
+            if (Store::applyRelayed(operatorWatch, changes, confirmedAt, now))
+                operatorRowsChanged();
+        } else if (changes.table == nodeRows.watch.settings.table) {
+            if (Store::applyRelayed(nodeRows.watch, changes, confirmedAt, now))
+                nodeRowsChanged();
+        } else if (changes.table == statusWatch.settings.table) {
+            if (Store::applyRelayed(statusWatch, changes, confirmedAt, now))
+                statusRowsChanged();
+        }
     }
 
     /// @return this node's rank, from 0, among the nodes that are not leaving. All nodes compute the same ranking, so
@@ -246,6 +315,7 @@
         if (context.lease.isHeld == wasHolder)
             return;
         wasHolder = context.lease.isHeld;
+        updateCallIntervals();
         // The previous holder may have sent orders and reports.
         if (context.lease.isHeld) {
             Scaling::resetForNewTenure(orders.planState, orders.orders);
@@ -350,11 +420,13 @@
     {
         handleMessages();
         const Common::instant now = Common::bootClockNow();
+        updateRelayRole(now);
         follow(operatorWatch, &implementation::operatorRowsChanged);
         follow(endpointWatch, &implementation::endpointRowsChanged);
         follow(nodeRows.watch, &implementation::nodeRowsChanged);
         if (isActive(rollouts))
             follow(statusWatch, &implementation::statusRowsChanged);
+        relayChanges(now);
         tickRollouts(now);
         dropMissingEndpoints(now);
         registerSelf(nodeRows, now);
@@ -371,12 +443,12 @@
     implementation& self = *m_implementation;
     self.context.settings = std::move(settings);
     self.outlets = std::move(outlets);
-    const store_call_intervals intervals = callIntervalsFor(1, self.context.settings.facts.bounds);
-    self.operatorWatch.settings = { self.context.settings.calls.operatorTable, intervals.catalogWait, intervals.maxRetryDelay, {} };
-    self.endpointWatch.settings = { self.context.settings.calls.endpointTable, intervals.endpointWait, intervals.maxRetryDelay, intervals.endpointBatchDelay };
-    self.statusWatch.settings = { self.context.settings.calls.statusTable, statusTableWait, intervals.maxRetryDelay, {} };
+    self.operatorWatch.settings.table = self.context.settings.calls.operatorTable;
+    self.endpointWatch.settings.table = self.context.settings.calls.endpointTable;
+    self.statusWatch.settings.table = self.context.settings.calls.statusTable;
+    self.nodeRows.watch.settings.table = nodeTable;
+    self.updateCallIntervals();
     self.rollouts = makeRolloutTracker(self.context.settings.facts.bounds.exposureShare);
-    self.nodeRows.watch.settings = { nodeTable, nodeTableWait, intervals.maxRetryDelay, intervals.nodeBatchDelay };
     self.context.lease.settings.self = self.context.settings.self.node;
     self.context.lease.settings.duration = std::max(self.context.lease.settings.duration, self.context.settings.facts.bounds.lease + milliseconds(600));
     self.context.lease.lastNonce = self.context.settings.seed & ((uint64_t { 1 } << nonceBits) - 1);
--- a/Source/Core/Control/ControlDuty.h
+++ b/Source/Core/Control/ControlDuty.h
@@ -9,6 +9,7 @@
 #include "Fleet/NodeFacts.h"
 #include "Gateway/GatewayDuty.h"
 #include "Rollout/Rollout.h"
+#include "Store/ChangeRelay.h"
 
 #include <functional>
 #include <memory>
@@ -54,6 +55,12 @@
     std::set<Common::node_id> nodes;
 };
 
+/// A relay of this node's zone has sent changes of the store's tables.
+struct table_changes_received {
+    Common::node_id from;
+    std::vector<Store::relayed_changes> tables;
+};
+
 /// This node starts to drain.
 struct leave_started { };
 
@@ -65,7 +72,7 @@
     Fleet::node_facts facts;
 };
 
-using control_message = std::variant<gateway_interval_reported, peer_demand_received, endpoint_leaving_received, catalog_version_announced, catalog_received, catalog_requested, dead_nodes_updated, leave_started, leave_finished, settings_reloaded, Gateway::attempt_report, Rollout::peer_evidence, Rollout::peer_latch>;
+using control_message = std::variant<gateway_interval_reported, peer_demand_received, endpoint_leaving_received, catalog_version_announced, catalog_received, catalog_requested, dead_nodes_updated, table_changes_received, leave_started, leave_finished, settings_reloaded, Gateway::attempt_report, Rollout::peer_evidence, Rollout::peer_latch>;
 
 /// Outputs of the duty, called on its thread. They must not block.
 struct control_outlets {
@@ -77,6 +84,8 @@
     /// Requests the catalog from peers that have a newer version than `after`.
     std::function<void(uint64_t after)> requestCatalog;
     std::function<void(const Common::node_id& peer, uint64_t version, std::string text)> sendCatalog;
+    /// Sends changes of the store's tables to other nodes.
+    std::function<void(std::vector<Common::node_id> receivers, std::vector<Store::relayed_changes> tables)> relayChanges;
     std::function<void(const Rollout::broadcast_evidence&)> broadcastEvidence;
     std::function<void(const Rollout::broadcast_latch&)> broadcastLatch;
 };
--- a/Source/Core/Control/EndpointOrders.cpp
+++ b/Source/Core/Control/EndpointOrders.cpp
@@ -29,7 +29,7 @@
     {
         const store_call_intervals intervals = callIntervalsFor(ordering.context.nodes.size(), ordering.context.settings.facts.bounds);
         const Scaling::wanted_map before = ordering.planState.wanted;
-        const Scaling::wanted_map wanted = Scaling::planServices(*ordering.context.catalog, ordering.context.endpoints.endpoints, ordering.demand, ordering.orders, ordering.planState, entryWriteInterval + intervals.endpointBatchDelay, now);
+        const Scaling::wanted_map wanted = Scaling::planServices(*ordering.context.catalog, ordering.context.endpoints.endpoints, ordering.demand, ordering.orders, ordering.planState, entryWriteInterval + intervals.endpoints.pause, now);
         if (wanted != before)
             logPlan(ordering, now);
     }
--- a/Source/Core/Control/StoreCallIntervals.h
+++ b/Source/Core/Control/StoreCallIntervals.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// Intervals of a node's calls to the platform's store. Every node makes these calls, so the intervals grow with the
-/// number of nodes to limit the total rate. Pure: no clock, no socket.
+/// Intervals of a node's calls to the platform's store. They keep the total rate low in a large fleet and a node's copies
+/// of the tables fresh enough for the service bounds. Pure: no clock, no socket.
 
 #include "Fleet/NodeFacts.h"
 
@@ -12,12 +12,19 @@
 
 using std::chrono::milliseconds;
 
+/// How a node reads a table: a relay polls the store for changes, the other nodes query it only if their relay is silent.
+struct read_intervals {
+    milliseconds maxWait { 0 }; ///< Of a relay's query for changes.
+    milliseconds pause { 0 }; ///< After changes, until the relay's next query.
+    milliseconds maxAge { 0 }; ///< Of the last confirmation, before a node that is not a relay queries the store.
+};
+
 struct store_call_intervals {
-    milliseconds catalogWait { 0 }; ///< Maximum long-poll wait for changes of the operator's table.
-    milliseconds endpointWait { 0 }; ///< Maximum long-poll wait for changes of the endpoint table.
-    milliseconds endpointBatchDelay { 0 }; ///< Delay after a change until the next poll, to batch changes.
-    milliseconds nodeBatchDelay { 0 }; ///< The same for the node table.
-    milliseconds maxRetryDelay { 0 }; ///< Maximum retry delay of a poll while the store doesn't answer.
+    read_intervals catalog;
+    read_intervals endpoints;
+    read_intervals nodes;
+    read_intervals statuses; ///< Of rollouts.
+    milliseconds maxRetryDelay { 0 }; ///< Maximum retry delay of a query while the store doesn't answer.
     milliseconds countInterval { 0 }; ///< Between two writes of the usage counts of an open window.
 };
 
@@ -26,9 +33,9 @@
 /// @return the intervals for each node.
 store_call_intervals callIntervalsFor(size_t nodes, const Fleet::service_bounds& bounds);
 
-/// @param interval interval for a small fleet.
-/// @param nodes number of nodes.
-/// @return the interval for each node, which grows in steps with the number of nodes.
-milliseconds scaledInterval(milliseconds interval, size_t nodes);
+/// @param rank of a node among those that watch the lease, from 0.
+/// @return the time between two of its reads of the lease. The first two take a lapsed lease over soon; the rarer reads of
+/// the others cover the loss of these two together with the holder, and come at different times.
+milliseconds leaseWatchInterval(size_t rank);
 
 } // namespace Control
--- /dev/null
+++ b/Source/Core/Control/Tests/TableRelayTest.cpp
@@ -0,0 +1,380 @@
+/// @file
+/// Relaying of the store's tables: nodes of one zone with a store on a virtual clock, while messages are lost and relays
+/// fail.
+
+#include "Control/StoreCallIntervals.h"
+#include "Control/TableRelay.h"
+#include "Control/TrueTime.h"
+
+#include "Common/Random.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+#include <string>
+
+namespace {
+
+using namespace Control;
+
+Common::instant at(int64_t ms)
+{
+    return Common::instant(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+/// A table of the store with its whole history.
+struct fake_store {
+    std::vector<Store::row> history;
+    uint64_t version { 100 };
+
+    void write(const std::string& key, bool isRemoved)
+    {
+        history.push_back({ { "t", "", key }, "value" + std::to_string(version), { ++version }, isRemoved });
+    }
+
+    std::map<std::string, uint64_t> current() const
+    {
+        std::map<std::string, uint64_t> rows;
+        for (const Store::row& item : history) {
+            if (item.isRemoved)
+                rows.erase(item.name.key);
+            else
+                rows[item.name.key] = item.version.value;
+        }
+        return rows;
+    }
+
+    Store::rows_answer answer(const Store::watch_query& query, int64_t now) const
+    {
+        Store::rows_answer result;
+        result.outcome = Store::call_outcome::Done;
+        result.newest = { version };
+        result.now = { now };
+        const auto* changes = std::get_if<Store::change_query>(&query);
+        const auto rows = current();
+        for (const Store::row& item : history) {
+            const auto known = rows.find(item.name.key);
+            const bool isCurrent = known != rows.end() && known->second == item.version.value;
+            if (changes ? item.version > changes->after : isCurrent)
+                result.rows.push_back(item);
+        }
+        return result;
+    }
+};
+
+struct pending_call {
+    Store::watch_query query;
+    int64_t sentAt { 0 };
+    int64_t answerBy { 0 }; ///< End of the store's wait for changes.
+};
+
+struct node {
+    Common::node_id id;
+    Store::table_watch watch;
+    table_relay relay;
+    std::optional<pending_call> call;
+    store_reading clock;
+    bool isRunning { true };
+    bool reachesStore { true };
+};
+
+struct message {
+    size_t to { 0 };
+    Common::node_id from;
+    int64_t arrivesAt { 0 };
+    Store::relayed_changes changes;
+};
+
+struct conditions {
+    const char* name;
+    double lossShare; ///< Of the messages between nodes.
+    int killRelayAtMs; ///< Negative: never.
+    int cutRelayAtMs; ///< The relay's calls to the store get no answer any more; negative: never.
+    int maxCalls; ///< To the store, of all nodes in the whole run.
+};
+
+struct result {
+    int64_t longestDelay { 0 }; ///< From a change to its presence in the copies of all nodes that reach the store.
+    int calls { 0 };
+    bool areCopiesEqual { true };
+};
+
+constexpr size_t nodeCount = 49;
+constexpr int64_t durationMs = 60000;
+constexpr int64_t stepMs = 10;
+constexpr int64_t storeDelayMs = 74;
+constexpr int64_t messageDelayMs = 30;
+constexpr int64_t callTimeLimitMs = 1500;
+constexpr int64_t meanChangeIntervalMs = 2000;
+constexpr int drainMs = 5000;
+
+/// Plays a zone in which the table changes every two seconds on average.
+struct zone_play {
+    fake_store store;
+    std::vector<node> nodes { nodeCount };
+    std::vector<message> messages;
+    Common::random_source random;
+    conditions condition;
+    result outcome;
+    store_call_intervals intervals;
+    std::vector<std::pair<int64_t, uint64_t>> uncopied; ///< Time and version of changes that not all nodes have.
+
+    zone_play(const conditions& item, uint64_t seed)
+        : random(seed)
+        , condition(item)
+    {
+        Fleet::service_bounds bounds;
+        bounds.drain = milliseconds(drainMs);
+        intervals = callIntervalsFor(6 * nodeCount, bounds);
+        Fleet::node_map listed;
+        for (size_t index = 0; index < nodeCount; ++index) {
+            nodes[index].id = { "n" + std::to_string(index) };
+            Fleet::node_entry entry;
+            entry.node = nodes[index].id;
+            entry.zone = { "a" };
+            listed[entry.node] = entry;
+        }
+        for (node& item : nodes) {
+            item.watch.settings.table = "t";
+            item.relay.ranking = rankRelays(listed, { "a" });
+        }
+    }
+
+    node& relayOfFirstRank()
+    {
+        for (node& item : nodes) {
+            if (item.id == item.relay.ranking.front())
+                return item;
+        }
+        return nodes.front();
+    }
+
+    void handleAnswer(node& item, const Store::rows_answer& answer, int64_t now)
+    {
+        item.call.reset();
+        item.clock = { { now }, at(now) };
+        const Store::watch_event event = Store::handleAnswer(item.watch, answer, at(now));
+        recordAnswer(item.relay, item.watch, answer, event, at(now));
+    }
+
+    void finishCall(node& item, int64_t now)
+    {
+        if (!item.call)
+            return;
+        const bool hasWaited = now - item.call->sentAt >= storeDelayMs;
+        if (!item.reachesStore) {
+            if (now - item.call->sentAt >= callTimeLimitMs)
+                handleAnswer(item, {}, now);
+            return;
+        }
+        const Store::rows_answer answer = store.answer(item.call->query, now);
+        if (hasWaited && (!answer.rows.empty() || now >= item.call->answerBy))
+            handleAnswer(item, answer, now);
+    }
+
+    void startCall(node& item, int64_t now)
+    {
+        const auto query = Store::nextQuery(item.watch, at(now));
+        if (!query)
+            return;
+        ++outcome.calls;
+        const auto* changes = std::get_if<Store::change_query>(&*query);
+        item.call = pending_call { *query, now, now + (changes ? changes->maxWait.count() : 0) };
+    }
+
+    void applyRole(node& item, int64_t now)
+    {
+        if (updateRole(item.relay, item.id, at(now)))
+            resetOutboxes(item.relay, { &item.watch });
+        const bool isRelay = item.relay.isRelay;
+        item.watch.settings.maxWait = isRelay ? intervals.endpoints.maxWait : milliseconds(0);
+        item.watch.settings.pause = intervals.endpoints.pause;
+        item.watch.settings.maxAge = isRelay ? milliseconds(0) : intervals.endpoints.maxAge;
+    }
+
+    void announce(node& item, size_t self, int64_t now)
+    {
+        for (const Store::relayed_changes& changes : takeAnnouncements(item.relay, { &item.watch }, at(now))) {
+            for (size_t to = 0; to < nodes.size(); ++to) {
+                if (to != self && Common::uniformUnit(random) >= condition.lossShare)
+                    messages.push_back({ to, item.id, now + messageDelayMs, changes });
+            }
+        }
+    }
+
+    void deliver(int64_t now)
+    {
+        std::vector<message> later;
+        for (message& item : messages) {
+            if (item.arrivesAt > now) {
+                later.push_back(std::move(item));
+                continue;
+            }
+            node& receiver = nodes[item.to];
+            if (!receiver.isRunning)
+                continue;
+            recordRelayHeard(receiver.relay, receiver.id, item.from, at(now));
+            if (!receiver.relay.isRelay)
+                Store::applyRelayed(receiver.watch, item.changes, localTimeOf(receiver.clock, item.changes.confirmedAt), at(now));
+        }
+        messages = std::move(later);
+    }
+
+    void changeTable(int64_t now)
+    {
+        if (Common::uniformUnit(random) >= static_cast<double>(stepMs) / meanChangeIntervalMs)
+            return;
+        store.write("k" + std::to_string(Common::uniformBelow(random, 30)), Common::uniformBelow(random, 4) == 0);
+        uncopied.emplace_back(now, store.version);
+    }
+
+    void measureDelay(int64_t now)
+    {
+        std::erase_if(uncopied, [&](const auto& change) {
+            for (const node& item : nodes) {
+                if (item.isRunning && item.reachesStore && item.watch.newest.value < change.second)
+                    return false;
+            }
+            return true;
+        });
+        if (!uncopied.empty())
+            outcome.longestDelay = std::max(outcome.longestDelay, now - uncopied.front().first);
+    }
+
+    result play()
+    {
+        for (int64_t now = 0; now < durationMs; now += stepMs) {
+            if (now > 2000 && now < durationMs - drainMs)
+                changeTable(now);
+            if (now == condition.killRelayAtMs)
+                relayOfFirstRank().isRunning = false;
+            if (now == condition.cutRelayAtMs)
+                relayOfFirstRank().reachesStore = false;
+            deliver(now);
+            for (size_t index = 0; index < nodes.size(); ++index) {
+                node& item = nodes[index];
+                if (!item.isRunning)
+                    continue;
+                finishCall(item, now);
+                applyRole(item, now);
+                startCall(item, now);
+                announce(item, index, now);
+            }
+            measureDelay(now);
+        }
+        compareCopies();
+        return outcome;
+    }
+
+    void compareCopies()
+    {
+        const auto expected = store.current();
+        for (const node& item : nodes) {
+            if (!item.isRunning || !item.reachesStore)
+                continue;
+            std::map<std::string, uint64_t> copy;
+            for (const auto& [key, row] : item.watch.rows)
+                copy[key] = row.version.value;
+            outcome.areCopiesEqual = outcome.areCopiesEqual && copy == expected;
+        }
+    }
+};
+
+} // namespace
+
+TEST_GROUP(TableRelay) {};
+
+TEST(TableRelay, ChangesReachAllNodesInTimeWithFewCallsToTheStore)
+{
+    // A node that follows the store by itself would make at least one call a second: 2940 in the run.
+    const conditions rows[] = {
+        { "no fault", 0, -1, -1, 300 },
+        { "messages are lost", 0.03, -1, -1, 400 },
+        { "many messages are lost", 0.3, -1, -1, 1200 },
+        { "the relay is killed", 0, 20000, -1, 400 },
+        { "the store stops answering the relay", 0, -1, 20000, 500 },
+    };
+    for (const conditions& item : rows) {
+        for (uint64_t seed = 1; seed <= 5; ++seed) {
+            const result outcome = zone_play(item, seed).play();
+            CHECK_TEXT(outcome.areCopiesEqual, item.name);
+            CHECK_TEXT(outcome.longestDelay < drainMs, item.name);
+            CHECK_TEXT(outcome.calls < item.maxCalls, (std::string(item.name) + ": " + std::to_string(outcome.calls) + " calls").c_str());
+        }
+    }
+}
+
+TEST(TableRelay, ACopyThatLacksEarlierChangesReadsTheStoreInsteadOfApplyingLaterOnes)
+{
+    struct row {
+        const char* condition;
+        uint64_t after;
+        bool hasChanged;
+        bool readsAtOnce;
+    };
+    const row rows[] = {
+        { "follows on the copy", 5, true, false },
+        { "overlaps with the copy", 3, true, false },
+        { "starts after the copy", 6, false, true },
+    };
+    for (const row& item : rows) {
+        Store::table_watch watch;
+        watch.settings.table = "t";
+        watch.settings.maxAge = milliseconds(2000);
+        CHECK(Store::nextQuery(watch, at(0)).has_value());
+        Store::rows_answer answer;
+        answer.outcome = Store::call_outcome::Done;
+        answer.newest = { 5 };
+        answer.rows.push_back({ { "t", "", "a" }, "old", { 4 }, false });
+        Store::handleAnswer(watch, answer, at(0));
+        Store::relayed_changes changes { "t", { item.after }, { 8 }, { 100 }, {}, {} };
+        changes.rows.push_back({ { "t", "", "a" }, "older", { 4 }, true });
+        changes.rows.push_back({ { "t", "", "b" }, "new", { 8 }, false });
+        CHECK_EQUAL_TEXT(item.hasChanged, Store::applyRelayed(watch, changes, at(100), at(120)), item.condition);
+        CHECK_TEXT(watch.rows.contains("a"), item.condition);
+        CHECK_EQUAL_TEXT(item.hasChanged, watch.rows.contains("b"), item.condition);
+        CHECK_EQUAL_TEXT(item.readsAtOnce, Store::nextQuery(watch, at(120)).has_value(), item.condition);
+    }
+}
+
+TEST(TableRelay, AnOldConfirmationDoesNotDelayTheNextQuery)
+{
+    // The message was on its way for two seconds, for example behind a slow link.
+    Store::table_watch watch;
+    watch.settings.table = "t";
+    watch.settings.maxAge = milliseconds(1800);
+    watch.isComplete = true;
+    watch.newest = { 5 };
+    Store::applyRelayed(watch, { "t", { 5 }, { 5 }, { 1000 }, {}, {} }, at(1000), at(3000));
+    CHECK(Store::nextQuery(watch, at(3000)).has_value());
+}
+
+TEST(TableRelay, LargeChangesAreOnlyAnnounced)
+{
+    Store::table_watch watch;
+    watch.settings.table = "t";
+    watch.newest = { 9 };
+    Store::relay_outbox outbox;
+    outbox.announced = { 5 };
+    Store::recordChanges(outbox, { { { "t", "", "config" }, std::string(60000, 'x'), { 9 }, false } });
+    const Store::relayed_changes changes = takeChanges(outbox, watch);
+    CHECK(changes.rows.empty());
+    CHECK_EQUAL(9, changes.after.value);
+    CHECK(outbox.rows.empty());
+}
+
+TEST(TableRelay, LargerMachinesAndNodesThatStayComeFirst)
+{
+    Fleet::node_map nodes;
+    for (const char* name : { "a1", "a2", "a3", "b1" }) {
+        Fleet::node_entry entry;
+        entry.node = { name };
+        entry.zone = { std::string(1, name[0]) };
+        entry.cores = entry.node.value == "a2" ? 0.5 : 0.12;
+        entry.isLeaving = entry.node.value == "a3";
+        nodes[entry.node] = entry;
+    }
+    const std::vector<Common::node_id> ranking = rankRelays(nodes, { "a" });
+    CHECK_EQUAL(2, ranking.size());
+    CHECK_EQUAL(std::string("a2"), ranking.front().value);
+}
--- a/Source/Core/Control/TrueTime.cpp
+++ b/Source/Core/Control/TrueTime.cpp
@@ -13,6 +13,11 @@
     return *middle;
 }
 
+Common::instant localTimeOf(const store_reading& reading, Store::store_time time)
+{
+    return reading.localNow + std::chrono::milliseconds(time.value - reading.storeNow.value);
+}
+
 Usage::true_time trueTimeAt(const store_reading& reading, int64_t offset, Common::instant now)
 {
     const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(now - reading.localNow);
--- a/Source/Core/Control/TrueTime.h
+++ b/Source/Core/Control/TrueTime.h
@@ -22,6 +22,11 @@
 /// @return their median (the upper one of an even number); nothing when `offsets` is empty.
 std::optional<int64_t> medianOffset(std::vector<int64_t> offsets);
 
+/// @param reading a reading of the store's clock.
+/// @param time a time of the store's clock.
+/// @return the local time at which the store's clock shows it.
+Common::instant localTimeOf(const store_reading& reading, Store::store_time time);
+
 /// @param reading the newest reading of the store's clock.
 /// @param offset true time minus the store's clock, in milliseconds.
 /// @param now local time.
--- a/Source/Core/Fleet/EndpointRegistry.cpp
+++ b/Source/Core/Fleet/EndpointRegistry.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/EndpointRegistry.h"
 
+#include <algorithm>
 #include <set>
 
 namespace Fleet {
@@ -84,9 +85,9 @@
     return changes;
 }
 
-void startMissingEntryGrace(endpoint_registry& registry, Common::instant now)
+void startMissingEntryGrace(endpoint_registry& registry, Common::instant returnedAt)
 {
-    registry.missingToleratedUntil = now + missingEntryGrace;
+    registry.missingToleratedUntil = std::max(registry.missingToleratedUntil, returnedAt + missingEntryGrace);
 }
 
 std::optional<endpoint_change> markLeaving(endpoint_registry& registry, const Common::endpoint_id& id, start_time started)
--- a/Source/Core/Fleet/EndpointRegistry.h
+++ b/Source/Core/Fleet/EndpointRegistry.h
@@ -74,9 +74,10 @@
 /// @return the changes.
 std::vector<endpoint_change> applyListing(endpoint_registry& registry, const listing& latest, Common::instant now);
 
-/// Starts the period in which missing endpoints are kept. To be called when the store answers again after an outage:
-/// entries that are missing because of the outage may still come back.
-void startMissingEntryGrace(endpoint_registry& registry, Common::instant now);
+/// Starts the period in which missing endpoints are kept: after an outage of the store, entries that are missing because
+/// of it may still come back.
+/// @param returnedAt when the store answered again, to this node or to the one that relays its changes.
+void startMissingEntryGrace(endpoint_registry& registry, Common::instant returnedAt);
 
 /// Removes the endpoints that are still missing when the period after an outage is over. Needs no further listing,
 /// because none may come while the table doesn't change.
--- a/Source/Core/Membership/PeerCodec.cpp
+++ b/Source/Core/Membership/PeerCodec.cpp
@@ -172,6 +172,35 @@
     return item;
 }
 
+void encodeTableChanges(const Store::relayed_changes& item, filbertreel::peer::table_changes& record)
+{
+    record.set_table(item.table);
+    record.set_after_version(item.after.value);
+    record.set_newest_version(item.newest.value);
+    record.set_confirmed_at_ms(item.confirmedAt.value);
+    record.set_returned_at_ms(item.returnedAt.value);
+    for (const Store::row& row : item.rows) {
+        auto* written = record.add_rows();
+        written->set_key(row.name.key);
+        written->set_value(row.value);
+        written->set_version(row.version.value);
+        written->set_is_removed(row.isRemoved);
+    }
+}
+
+Store::relayed_changes decodeTableChanges(const filbertreel::peer::table_changes& record)
+{
+    Store::relayed_changes item;
+    item.table = record.table();
+    item.after = { record.after_version() };
+    item.newest = { record.newest_version() };
+    item.confirmedAt = { record.confirmed_at_ms() };
+    item.returnedAt = { record.returned_at_ms() };
+    for (const auto& row : record.rows())
+        item.rows.push_back({ { record.table(), "", row.key() }, row.value(), { row.version() }, row.is_removed() });
+    return item;
+}
+
 void encodeGrants(const Quota::node_report& item, filbertreel::peer::grant_report& record)
 {
     for (const Quota::granted_total& account : item.accounts) {
--- a/Source/Core/Membership/PeerCodec.h
+++ b/Source/Core/Membership/PeerCodec.h
@@ -9,6 +9,7 @@
 #include "Membership/Members.h"
 #include "Quota/Quota.h"
 #include "Scaling/Demand.h"
+#include "Store/ChangeRelay.h"
 
 namespace filbertreel::peer {
 class configuration_changes;
@@ -18,6 +19,7 @@
 class member_record;
 class request_handover;
 class rollout_evidence;
+class table_changes;
 }
 
 namespace Membership {
@@ -71,6 +73,13 @@
 /// @return the evidence.
 Rollout::peer_evidence decodeEvidence(const Common::node_id& node, const filbertreel::peer::rollout_evidence& record);
 
+/// @param item changes of a table.
+/// @param record receives the encoded changes.
+void encodeTableChanges(const Store::relayed_changes& item, filbertreel::peer::table_changes& record);
+/// @param record changes of a table as received.
+/// @return the changes.
+Store::relayed_changes decodeTableChanges(const filbertreel::peer::table_changes& record);
+
 /// @param item this node's grants to client accounts.
 /// @param record the grants are appended to it.
 void encodeGrants(const Quota::node_report& item, filbertreel::peer::grant_report& record);
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -226,6 +226,15 @@
         sendTo(message.peer, outgoing);
     }
 
+    void handle(push_table_changes&& message)
+    {
+        envelope outgoing;
+        for (const Store::relayed_changes& changes : message.tables)
+            encodeTableChanges(changes, *outgoing.mutable_relayed_tables()->add_tables());
+        for (const Common::node_id& id : message.receivers)
+            sendTo(id, outgoing);
+    }
+
     void handle(offer_transfer&& message)
     {
         // A repeated offer of a request goes to another peer than the previous one.
@@ -291,6 +300,15 @@
             outlets.sendToEndpoints(Endpoints::instances_received { std::move(*instances) });
     }
 
+    void handleTableChanges(const Common::node_id& sender, const filbertreel::peer::relayed_tables& body)
+    {
+        std::vector<Store::relayed_changes> tables;
+        for (const auto& changes : body.tables())
+            tables.push_back(decodeTableChanges(changes));
+        if (outlets.tableChangesReceived)
+            outlets.tableChangesReceived(sender, std::move(tables));
+    }
+
     void handleEnvelope(const envelope& message)
     {
         const Common::node_id sender { message.sender() };
@@ -333,6 +351,8 @@
             return outlets.catalogRequested(sender, message.catalog_pull().after_version());
         case envelope::kCatalogText:
             return outlets.catalogReceived(message.catalog_text().version(), std::string(message.catalog_text().text()));
+        case envelope::kRelayedTables:
+            return handleTableChanges(sender, message.relayed_tables());
         case envelope::BODY_NOT_SET:
             return;
         }
--- a/Source/Core/Membership/PeerDuty.h
+++ b/Source/Core/Membership/PeerDuty.h
@@ -11,6 +11,7 @@
 #include "Quota/Quota.h"
 #include "Rollout/Rollout.h"
 #include "Scaling/Demand.h"
+#include "Store/ChangeRelay.h"
 
 #include <atomic>
 #include <functional>
@@ -57,6 +58,12 @@
     std::string text;
 };
 
+/// Send some peers changes of the store's tables.
+struct push_table_changes {
+    std::vector<Common::node_id> receivers;
+    std::vector<Store::relayed_changes> tables;
+};
+
 /// Send the linked peers the instances that are new on the cloud's list.
 struct push_instances {
     std::vector<Endpoints::instance_info> instances;
@@ -101,7 +108,7 @@
 };
 
 using peer_message = std::variant<seeds_changed, configuration_changed, leave_started, push_changes, pull_changes, reply_changes,
-    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog>;
+    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog, push_table_changes>;
 
 /// Callbacks for what the duty receives and finds. They run on the duty's thread and must not block.
 struct peer_outlets {
@@ -119,6 +126,7 @@
     /// A peer requests the catalog if it is later than the given version.
     std::function<void(const Common::node_id& peer, uint64_t after)> catalogRequested;
     std::function<void(uint64_t version, std::string&& text)> catalogReceived;
+    std::function<void(const Common::node_id& peer, std::vector<Store::relayed_changes>&& tables)> tableChangesReceived;
 };
 
 struct peer_settings {
--- a/Source/Core/Scaling/Demand.cpp
+++ b/Source/Core/Scaling/Demand.cpp
@@ -11,9 +11,15 @@
     /// noise. Increases and decreases have the same weight: an estimate that rises faster than it falls would always be
     /// too high.
     constexpr milliseconds averagingTime { 3000 };
-    /// Reports older than this are ignored. By then the callers of a failed node have moved to other nodes, which
-    /// report their demand.
-    constexpr milliseconds reportLifetime { 2500 };
+    /// Older reports are ignored: by then the callers of a failed node have moved to other nodes, which report their
+    /// demand. Nodes of a large fleet report rarely, and a single late report must not lower the demand.
+    constexpr milliseconds minReportLifetime { 2500 };
+    constexpr int reportsPerLifetime = 2;
+
+    bool isCurrent(const smoothed_demand& item, Common::instant now)
+    {
+        return now - item.receivedAt <= std::max(minReportLifetime, reportsPerLifetime * item.interval);
+    }
 
     double toMs(Common::duration time)
     {
@@ -34,6 +40,7 @@
         smoothed_demand& item = tracker.services[service][report.node];
         item.zone = report.zone;
         item.receivedAt = now;
+        item.interval = report.interval;
         smooth(item, engineMs / std::max(1.0, toMs(report.interval)), report.interval);
     }
     for (auto& [service, nodes] : tracker.services) {
@@ -52,7 +59,7 @@
     if (found == tracker.services.end())
         return zones;
     for (const auto& [node, item] : found->second) {
-        if (now - item.receivedAt <= reportLifetime)
+        if (isCurrent(item, now))
             zones[item.zone].value += item.level;
     }
     return zones;
--- a/Source/Core/Scaling/Demand.h
+++ b/Source/Core/Scaling/Demand.h
@@ -27,6 +27,7 @@
 struct smoothed_demand {
     double level { 0 }; ///< Exponential moving average, in busy engines.
     Common::instant receivedAt;
+    milliseconds interval { 0 }; ///< Of the node's reports.
     Common::zone_name zone;
 };
 
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -221,6 +221,28 @@
 
 TEST_GROUP(Demand) {};
 
+TEST(Demand, NodesThatReportRarelyCountUntilTheirNextReport)
+{
+    struct row {
+        int intervalMs;
+        int silentMs;
+        bool counts;
+    };
+    const row rows[] = {
+        { 250, 2000, true },
+        { 250, 3000, false },
+        // 295 nodes report every 3.5 s each; one report may be late.
+        { 3500, 3600, true },
+        { 3500, 6900, true },
+        { 3500, 7100, false },
+    };
+    for (const row& item : rows) {
+        demand_tracker tracker;
+        recordDemand(tracker, { { "n" }, { "a" }, { { { "s" }, 1000 } }, milliseconds(item.intervalMs) }, at(0));
+        CHECK_EQUAL(item.counts, demandByZone(tracker, { "s" }, at(item.silentMs)).contains({ "a" }));
+    }
+}
+
 TEST(Demand, LargeSingleRequestsDoNotRaiseTheAverage)
 {
     demand_tracker tracker;
--- a/Source/Core/Store/TableWatch.cpp
+++ b/Source/Core/Store/TableWatch.cpp
@@ -19,22 +19,6 @@
         watch.nextKey.clear();
     }
 
-    bool applyChanges(table_watch& watch, const rows_answer& answer)
-    {
-        bool hasChanged = false;
-        for (const row& item : answer.rows) {
-            if (!item.name.part.empty())
-                continue;
-            hasChanged = true;
-            if (item.isRemoved)
-                watch.rows.erase(item.name.key);
-            else
-                watch.rows[item.name.key] = item;
-        }
-        watch.newest = std::max(watch.newest, answer.newest);
-        return hasChanged;
-    }
-
     bool sameRows(const std::map<std::string, row>& left, const std::map<std::string, row>& right)
     {
         return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const auto& first, const auto& second) {
@@ -60,8 +44,36 @@
         return hasChanged;
     }
 
+    /// Sets the time of the next call after a successful one.
+    void scheduleNext(table_watch& watch, bool hasChanged, Common::instant now)
+    {
+        watch.nextCall = now;
+        if (!watch.isComplete)
+            return;
+        if (watch.settings.maxAge.count() > 0)
+            watch.nextCall = now + watch.settings.maxAge;
+        else if (hasChanged)
+            watch.nextCall = now + watch.settings.pause;
+    }
+
 } // namespace
 
+bool applyChanges(table_watch& watch, const std::vector<row>& rows, row_version newest)
+{
+    bool hasChanged = false;
+    for (const row& item : rows) {
+        if (!item.name.part.empty() || item.version <= watch.newest)
+            continue;
+        hasChanged = true;
+        if (item.isRemoved)
+            watch.rows.erase(item.name.key);
+        else
+            watch.rows[item.name.key] = item;
+    }
+    watch.newest = std::max(watch.newest, newest);
+    return hasChanged;
+}
+
 std::optional<watch_query> nextQuery(table_watch& watch, Common::instant now)
 {
     if (watch.isCallPending || (now < watch.nextCall && !(watch.isRefreshRequested && !watch.isFailing)))
@@ -91,16 +103,20 @@
         return event;
     }
     event.hasReturned = watch.isFailing;
+    if (event.hasReturned)
+        watch.returnedTime = answer.now;
     // Changes may have been missed during the failure, so all rows are read again.
     const bool needsFullRead = watch.isFailing && watch.isComplete;
     watch.isFailing = false;
     watch.failures = 0;
-    watch.nextCall = now;
-    watch.confirmedAt = now;
-    event.hasChanged = watch.isComplete ? applyChanges(watch, answer) : applyPage(watch, answer);
+    event.isFullRead = !watch.isComplete;
+    event.hasChanged = watch.isComplete ? applyChanges(watch, answer.rows, answer.newest) : applyPage(watch, answer);
     watch.isRefreshRequested = watch.isRefreshRequested || needsFullRead;
-    if (event.hasChanged && watch.isComplete)
-        watch.nextCall = now + watch.settings.pause;
+    if (watch.isComplete) {
+        watch.confirmedAt = now;
+        watch.confirmedTime = answer.now;
+    }
+    scheduleNext(watch, event.hasChanged, now);
     return event;
 }
 
--- a/Source/Core/Store/TableWatch.h
+++ b/Source/Core/Store/TableWatch.h
@@ -17,6 +17,9 @@
     std::chrono::milliseconds maxWait { 1500 }; ///< Of a change_query; a feed that stops is noticed after it.
     std::chrono::milliseconds maxRetryDelay { 600 }; ///< Upper bound of the delay between retries.
     std::chrono::milliseconds pause { 0 }; ///< After changes, so that further ones arrive in one answer.
+    /// If above zero, another node relays the changes (see ChangeRelay.h), and the store is only queried when the last
+    /// confirmation is older than this.
+    std::chrono::milliseconds maxAge { 0 };
 };
 
 struct table_watch {
@@ -31,11 +34,20 @@
     bool isRefreshRequested { false }; ///< Set when a newer state is known to exist: requests a full read at once.
     uint32_t failures { 0 }; ///< Failed calls in a row.
     Common::instant nextCall; ///< Earliest time of the next call.
-    Common::instant confirmedAt; ///< Time of the last successful answer.
+    Common::instant confirmedAt; ///< When the rows were last known to be current.
+    store_time confirmedTime; ///< The same by the store's clock.
+    store_time returnedTime; ///< When the store last answered again after an outage; zero: there was none.
 };
 
 using watch_query = std::variant<range, change_query>;
 
+/// Applies rows of a change_query's answer, or the same from a relay. Rows that the copy already includes are skipped.
+/// @param watch a complete copy.
+/// @param rows the changed rows, in order.
+/// @param newest version up to which the copy is current afterwards.
+/// @return whether a row has changed.
+bool applyChanges(table_watch& watch, const std::vector<row>& rows, row_version newest);
+
 /// @param watch the watch; marked as having a call pending when a query is returned.
 /// @param now current time.
 /// @return the query to send to the store now; empty when none is due or one is pending.
@@ -46,6 +58,7 @@
     bool hasChanged { false }; ///< Changes were applied, or a full read is finished.
     bool hasReturned { false }; ///< The store answers again after a failure.
     bool hasFailed { false }; ///< The first failure after a successful call.
+    bool isFullRead { false }; ///< The answer was a page of a full read and not a list of changes.
 };
 
 /// Applies the answer to the pending query.
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -134,6 +134,9 @@
         outlets.sendCatalog = [this](const Common::node_id& peer, uint64_t version, std::string text) {
             static_cast<void>(peers.submit(Membership::reply_catalog { peer, version, std::move(text) }));
         };
+        outlets.relayChanges = [this](std::vector<Common::node_id> receivers, std::vector<Store::relayed_changes> tables) {
+            static_cast<void>(peers.submit(Membership::push_table_changes { std::move(receivers), std::move(tables) }));
+        };
         outlets.broadcastEvidence = [this](const Rollout::broadcast_evidence& evidence) { static_cast<void>(peers.submit(Membership::push_evidence { evidence })); };
         outlets.broadcastLatch = [this](const Rollout::broadcast_latch& latch) { static_cast<void>(peers.submit(Membership::push_bad_version { latch })); };
         return outlets;
@@ -163,6 +166,9 @@
         outlets.startLeavingReceived = [this](const Common::endpoint_id& id, int64_t startedMs) { static_cast<void>(control.submit(Control::endpoint_leaving_received { id, { startedMs } })); };
         outlets.catalogRequested = [this](const Common::node_id& peer, uint64_t after) { static_cast<void>(control.submit(Control::catalog_requested { peer, after })); };
         outlets.catalogReceived = [this](uint64_t version, std::string&& text) { static_cast<void>(control.submit(Control::catalog_received { version, std::move(text) })); };
+        outlets.tableChangesReceived = [this](const Common::node_id& peer, std::vector<Store::relayed_changes>&& tables) {
+            static_cast<void>(control.submit(Control::table_changes_received { peer, std::move(tables) }));
+        };
         return outlets;
     }
 
