Usage counts go through the zone's relay; no releases during a rollout; endless answers end at once

Usage counts. Change: a node sends its counts to its zone's relay, which writes them in one transaction a second and confirms; without a confirmation in 1.6 s the node writes itself, in time for the report. Both write the same rows, so nothing counts twice. Tests: CountRelay.

Change: while a service has a rollout in progress no order goes below what is present. Test: EndpointsAreNotReleasedWhileTheirVersionChanges.

Before: a body, an event and a chunk's extension without end were collected in memory until the deadline, and informational heads were read for ever (the test gave 504 instead of 502 for these heads; without the limit of the buffer also for the chunk extension). Change: bounds on each; the exchange ends at once with a true answer and the connection is closed. Test: eleven endless answers in PlatformGateway.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -43,6 +43,7 @@
     node_rows nodeRows { context };
     Store::table_watch statusWatch; ///< Polled only while a rollout is in progress.
     table_relay relay;
+    count_relay countRelay;
     std::string catalogText; ///< The catalog in the platform's format, for peers that can't reach the store.
     bool wasHolder { false };
     rollout_tracker rollouts;
@@ -263,6 +264,56 @@
             applyTableChanges(changes, now);
     }
 
+    // --- Usage counts by way of the relay
+
+    void writeUsageCounts(Common::instant now)
+    {
+        const Common::node_id& self = context.settings.self.node;
+        auto message = writeCounts(usage, currentRelay(relay, self, now), now);
+        if (!message)
+            return;
+        if (message->relay == self)
+            return addCounts(countRelay, self, std::move(message->counts), now);
+        std::vector<std::pair<std::string, std::string>> rows;
+        rows.reserve(message->counts.rows.size());
+        for (Store::row_write& row : message->counts.rows)
+            rows.emplace_back(std::move(row.name.key), std::move(row.value));
+        outlets.sendUsageCounts(message->relay, message->counts.sequence.value, std::move(rows));
+    }
+
+    void writeRelayedCounts(Common::instant now)
+    {
+        const auto batch = takeBatch(countRelay, now);
+        if (!batch)
+            return;
+        context.commit(batch->write, [this, senders = batch->senders](const Store::rows_answer& answer) {
+            countRelay.isWriting = false;
+            // Without a confirmation the senders write their counts themselves.
+            if (answer.outcome != Store::call_outcome::Done)
+                return;
+            for (const auto& [node, sequence] : senders)
+                confirmWritten(node, sequence);
+        });
+    }
+
+    void confirmWritten(const Common::node_id& node, count_sequence sequence)
+    {
+        if (node == context.settings.self.node)
+            confirmCounts(usage, sequence);
+        else
+            outlets.confirmUsageCounts(node, sequence.value);
+    }
+
+    void handle(usage_counts_received&& message)
+    {
+        relayed_counts counts { { message.sequence }, {} };
+        for (auto& [key, value] : message.rows)
+            counts.rows.push_back({ countRow(key), std::move(value) });
+        addCounts(countRelay, message.from, std::move(counts), Common::bootClockNow());
+    }
+
+    void handle(usage_counts_confirmed&& message) { confirmCounts(usage, { message.sequence }); }
+
     void applyTableChanges(const Store::relayed_changes& changes, Common::instant now)
     {
         const Common::instant confirmedAt = localTimeOf(*context.storeClock, changes.confirmedAt);
@@ -330,7 +381,7 @@
         if (!mayAct)
             return;
         reportUsage(usage, now);
-        orderEndpoints(orders, now);
+        orderEndpoints(orders, activeServices(rollouts), now);
         reportRollouts();
         removeDeadNodes(nodeRows);
     }
@@ -431,7 +482,8 @@
         dropMissingEndpoints(now);
         registerSelf(nodeRows, now);
         assignRequests(usage, now);
-        writeCounts(usage, now);
+        writeUsageCounts(now);
+        writeRelayedCounts(now);
         maintainLease(now);
         runHolderTasks(now);
     }
--- a/Source/Core/Control/ControlDuty.h
+++ b/Source/Core/Control/ControlDuty.h
@@ -61,6 +61,18 @@
     std::vector<Store::relayed_changes> tables;
 };
 
+/// A node of this zone has sent its usage counts, to be written to the store.
+struct usage_counts_received {
+    Common::node_id from;
+    uint64_t sequence { 0 };
+    std::vector<std::pair<std::string, std::string>> rows; ///< Key and value.
+};
+
+/// A relay has written this node's usage counts.
+struct usage_counts_confirmed {
+    uint64_t sequence { 0 };
+};
+
 /// This node starts to drain.
 struct leave_started { };
 
@@ -72,7 +84,7 @@
     Fleet::node_facts facts;
 };
 
-using control_message = std::variant<gateway_interval_reported, peer_demand_received, endpoint_leaving_received, catalog_version_announced, catalog_received, catalog_requested, dead_nodes_updated, table_changes_received, leave_started, leave_finished, settings_reloaded, Gateway::attempt_report, Rollout::peer_evidence, Rollout::peer_latch>;
+using control_message = std::variant<gateway_interval_reported, peer_demand_received, endpoint_leaving_received, catalog_version_announced, catalog_received, catalog_requested, dead_nodes_updated, table_changes_received, usage_counts_received, usage_counts_confirmed, leave_started, leave_finished, settings_reloaded, Gateway::attempt_report, Rollout::peer_evidence, Rollout::peer_latch>;
 
 /// Outputs of the duty, called on its thread. They must not block.
 struct control_outlets {
@@ -86,6 +98,9 @@
     std::function<void(const Common::node_id& peer, uint64_t version, std::string text)> sendCatalog;
     /// Sends changes of the store's tables to other nodes.
     std::function<void(std::vector<Common::node_id> receivers, std::vector<Store::relayed_changes> tables)> relayChanges;
+    /// Sends usage counts, as rows with key and value, to the node that writes them to the store.
+    std::function<void(const Common::node_id& relay, uint64_t sequence, std::vector<std::pair<std::string, std::string>> rows)> sendUsageCounts;
+    std::function<void(const Common::node_id& node, uint64_t sequence)> confirmUsageCounts;
     std::function<void(const Rollout::broadcast_evidence&)> broadcastEvidence;
     std::function<void(const Rollout::broadcast_latch&)> broadcastLatch;
 };
--- a/Source/Core/Control/EndpointOrders.cpp
+++ b/Source/Core/Control/EndpointOrders.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-void orderEndpoints(endpoint_orders& ordering, Common::instant now)
+void orderEndpoints(endpoint_orders& ordering, const std::set<Common::service_name>& changingVersion, Common::instant now)
 {
     control_context& context = ordering.context;
     if (!context.catalog || !context.settings.facts.cloud.wantsScaling)
@@ -55,7 +55,8 @@
         ordering.nextPlan = now + planInterval;
         planAll(ordering, now);
     }
-    const auto order = Scaling::nextOrder(ordering.orders, ordering.planState.wanted, now);
+    const Scaling::wanted_map wanted = Scaling::withoutReleases(ordering.planState.wanted, context.endpoints.endpoints, changingVersion);
+    const auto order = Scaling::nextOrder(ordering.orders, wanted, now);
     if (!order)
         return;
     context.client.start(context.settings.calls.order(context.settings.facts.cloud.address, context.issuer(), *order),
--- a/Source/Core/Control/EndpointOrders.h
+++ b/Source/Core/Control/EndpointOrders.h
@@ -17,6 +17,9 @@
 };
 
 /// Updates the plan when it is due and sends the next order. Only the lease holder may call this.
-void orderEndpoints(endpoint_orders& ordering, Common::instant now);
+/// @param ordering the plan and the orders so far.
+/// @param changingVersion services with a rollout in progress; their endpoints are not released.
+/// @param now current time.
+void orderEndpoints(endpoint_orders& ordering, const std::set<Common::service_name>& changingVersion, Common::instant now);
 
 } // namespace Control
--- a/Source/Core/Control/RolloutTracker.cpp
+++ b/Source/Core/Control/RolloutTracker.cpp
@@ -148,13 +148,19 @@
     return observed;
 }
 
-bool isActive(const rollout_tracker& tracker)
+std::set<Common::service_name> activeServices(const rollout_tracker& tracker)
 {
+    std::set<Common::service_name> services;
     for (const auto& [service, rollout] : tracker.rollouts) {
         if (!rollout.reported || *rollout.reported == rollout_status::InProgress)
-            return true;
+            services.insert(service);
     }
-    return false;
+    return services;
+}
+
+bool isActive(const rollout_tracker& tracker)
+{
+    return !activeServices(tracker).empty();
 }
 
 } // namespace Control
--- a/Source/Core/Control/RolloutTracker.h
+++ b/Source/Core/Control/RolloutTracker.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace Control {
 
@@ -54,6 +55,9 @@
 /// @return the same event in the form that the evaluation takes.
 Rollout::attempt_observed toObservedAttempt(const Gateway::attempt_report& attempt);
 
+/// @return services with a rollout in progress.
+std::set<Common::service_name> activeServices(const rollout_tracker& tracker);
+
 /// @return whether any rollout is in progress.
 bool isActive(const rollout_tracker& tracker);
 
--- a/Source/Core/Control/StoreCallIntervals.cpp
+++ b/Source/Core/Control/StoreCallIntervals.cpp
@@ -10,11 +10,11 @@
     /// A relay notices after this time that the store's answer was lost, and meanwhile confirms nothing.
     constexpr milliseconds relayWait { 800 };
     /// Endpoints often change several at a time; this delay collects their changes into one answer.
-    constexpr milliseconds relayPause { 250 };
+    constexpr milliseconds relayPause { 400 };
     /// A node whose relay has failed without a sign still has to meet the bound, the time of its own query included.
     constexpr double maxAgeShareOfBound = 0.6;
     /// The list of nodes has no bound: the nodes also notice each other's failures themselves.
-    constexpr read_intervals nodeIntervals { milliseconds(2000), milliseconds(500), milliseconds(8000) };
+    constexpr read_intervals nodeIntervals { milliseconds(5000), milliseconds(500), milliseconds(8000) };
     constexpr milliseconds statusMaxAge { 2000 };
     /// Refused calls count towards the store's rate limit, so retries back off. All bounds must be met again some
     /// seconds after the store returns; the maximum delay leaves time for a last retry within them.
--- a/Source/Core/Control/TableRelay.cpp
+++ b/Source/Core/Control/TableRelay.cpp
@@ -46,6 +46,7 @@
         return left.cores != right.cores ? left.cores > right.cores : left.score > right.score;
     });
     std::vector<Common::node_id> ranking;
+    ranking.reserve(candidates.size());
     for (candidate& item : candidates)
         ranking.push_back(std::move(item.id));
     return ranking;
@@ -64,8 +65,19 @@
 
 void recordRelayHeard(table_relay& relay, const Common::node_id& self, const Common::node_id& from, Common::instant now)
 {
-    if (rankOf(relay.ranking, from) < rankOf(relay.ranking, self))
-        relay.betterHeardAt = now;
+    if (rankOf(relay.ranking, from) >= rankOf(relay.ranking, self))
+        return;
+    relay.betterRelay = from;
+    relay.betterHeardAt = now;
+}
+
+std::optional<Common::node_id> currentRelay(const table_relay& relay, const Common::node_id& self, Common::instant now)
+{
+    if (relay.isRelay)
+        return self;
+    if (relay.betterRelay.value.empty() || now - relay.betterHeardAt > takeoverDelay)
+        return {};
+    return relay.betterRelay;
 }
 
 void recordAnswer(table_relay& relay, const Store::table_watch& watch, const Store::rows_answer& answer, const Store::watch_event& event, Common::instant now)
--- a/Source/Core/Control/TableRelay.h
+++ b/Source/Core/Control/TableRelay.h
@@ -10,6 +10,7 @@
 #include "Store/ChangeRelay.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,7 +21,8 @@
 struct table_relay {
     std::vector<Common::node_id> ranking; ///< The nodes of this node's zone, best relay first.
     bool isRelay { true };
-    Common::instant betterHeardAt; ///< Last message from a relay of a better rank.
+    Common::node_id betterRelay; ///< The relay of a better rank that was heard last.
+    Common::instant betterHeardAt; ///< Last message from it.
     std::map<std::string, Store::relay_outbox> outboxes; ///< By table.
     Common::instant nextAnnouncement; ///< Earliest time.
 };
@@ -44,6 +46,9 @@
 /// @param now current time.
 void recordRelayHeard(table_relay& relay, const Common::node_id& self, const Common::node_id& from, Common::instant now);
 
+/// @return the node that relays for this node's zone, which may be this one; empty if none is known to work.
+std::optional<Common::node_id> currentRelay(const table_relay& relay, const Common::node_id& self, Common::instant now);
+
 /// Records an answer that this node got from the store, to relay it.
 /// @param watch the table's copy, after the answer was applied to it.
 void recordAnswer(table_relay& relay, const Store::table_watch& watch, const Store::rows_answer& answer, const Store::watch_event& event, Common::instant now);
--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Usage reports, intervals of store calls, true time and rollouts of the control duty.
 
+#include "Control/CountRelay.h"
 #include "Control/RolloutTracker.h"
 #include "Control/StoreCallIntervals.h"
 #include "Control/TrueTime.h"
@@ -148,6 +149,75 @@
         CHECK(!Usage::decodeCounts(text).has_value());
 }
 
+TEST_GROUP(CountRelay) {};
+
+TEST(CountRelay, CountsOfAZoneAreWrittenTogetherWithinTheEntryLimit)
+{
+    constexpr size_t maxEntries = 100;
+    struct row {
+        size_t nodes;
+        size_t rowsPerNode;
+        size_t transactions;
+    };
+    const row rows[] = { { 1, 1, 1 }, { 49, 1, 1 }, { 49, 2, 2 }, { 200, 1, 3 }, { 1, 95, 1 } };
+    for (const row& item : rows) {
+        count_relay relay;
+        for (size_t number = 0; number < item.nodes; ++number) {
+            relayed_counts counts { { 7 }, {} };
+            for (size_t added = 0; added < item.rowsPerNode; ++added)
+                counts.rows.push_back({ countRow({ static_cast<int64_t>(added) }, { "n" + std::to_string(number) }, { 1 }), "{}" });
+            addCounts(relay, { "n" + std::to_string(number) }, counts, at(0));
+        }
+        CHECK(!takeBatch(relay, at(100)).has_value());
+        size_t transactions = 0;
+        size_t confirmed = 0;
+        size_t written = 0;
+        while (const auto batch = takeBatch(relay, at(1000))) {
+            CHECK(!takeBatch(relay, at(1000)).has_value());
+            CHECK(batch->write.writes.size() <= maxEntries);
+            ++transactions;
+            confirmed += batch->senders.size();
+            written += batch->write.writes.size();
+            relay.isWriting = false;
+        }
+        CHECK_EQUAL(item.transactions, transactions);
+        CHECK_EQUAL(item.nodes, confirmed);
+        CHECK_EQUAL(item.nodes * item.rowsPerNode, written);
+    }
+}
+
+TEST(CountRelay, OnlyTheConfirmationOfTheLastMessageCounts)
+{
+    struct row {
+        uint64_t confirmed;
+        bool isWritten;
+    };
+    const row rows[] = { { 2, false }, { 3, true }, { 4, false } };
+    for (const row& item : rows) {
+        count_sender sender;
+        sender.last = { 3 };
+        sender.sent = unconfirmed_counts { { 3 }, at(0), { { { 5 }, { { { "clerks" }, 1 } } } } };
+        CHECK_EQUAL(item.isWritten, !confirm(sender, { item.confirmed }).empty());
+        CHECK_EQUAL(item.isWritten, !sender.sent.has_value());
+    }
+}
+
+TEST(CountRelay, ANodeWhoseRelayIsSilentWritesItsFinalCountsInTime)
+{
+    // The report of a window is put together 2.6 s after its end; the final counts are sent 0.4 s after it.
+    constexpr int64_t sentAt = 400;
+    constexpr int64_t settleTime = 2600;
+    count_sender sender;
+    sender.sent = unconfirmed_counts { { 1 }, at(sentAt), {} };
+    int64_t now = sentAt;
+    while (sender.sent) {
+        now += 50;
+        expireUnconfirmed(sender, at(now));
+    }
+    CHECK(now + 300 < settleTime);
+    CHECK(sender.directUntil > at(now));
+}
+
 TEST_GROUP(StoreCallIntervals) {};
 
 TEST(StoreCallIntervals, CallsOfAllNodesStayBelowAQuarterOfTheRateLimits)
--- a/Source/Core/Control/UsageReporter.cpp
+++ b/Source/Core/Control/UsageReporter.cpp
@@ -83,7 +83,12 @@
 
 Store::row_name countRow(Usage::window_number window, const Common::node_id& node, Common::incarnation_number incarnation)
 {
-    return { countTable, "", fmt::format("{}/{}.{}", windowKey(window), node.value, incarnation.value) };
+    return countRow(fmt::format("{}/{}.{}", windowKey(window), node.value, incarnation.value));
+}
+
+Store::row_name countRow(const std::string& key)
+{
+    return { countTable, "", key };
 }
 
 std::optional<usage_step> nextStep(usage_reporter& reporter, Usage::true_time trueNow, Common::instant now)
--- a/Source/Core/Control/UsageReporter.h
+++ b/Source/Core/Control/UsageReporter.h
@@ -68,6 +68,10 @@
 /// incarnation: the new process must not overwrite the counts of the previous one.
 Store::row_name countRow(Usage::window_number window, const Common::node_id& node, Common::incarnation_number incarnation);
 
+/// @param key of a row with usage counts.
+/// @return the name of the row.
+Store::row_name countRow(const std::string& key);
+
 /// @param reporter the lease holder's reporter. A returned step is in progress until its handle function is called.
 /// @param trueNow current true time.
 /// @param now current local time.
--- a/Source/Core/Control/UsageTracker.cpp
+++ b/Source/Core/Control/UsageTracker.cpp
@@ -10,6 +10,8 @@
     /// Time after the end of a window until its final counts are written.
     constexpr milliseconds finalWriteDelay { 400 };
     constexpr milliseconds retryDelay { 300 };
+    /// Between two messages with the counts of an open window to the relay, whose own interval limits the writes.
+    constexpr milliseconds relayedCountInterval { 1000 };
     /// Number of windows kept after their end.
     constexpr int64_t retainedWindows = 4;
 
@@ -49,6 +51,48 @@
             [&tracker, step](const Http::transfer_answer& answer) { handleUsageAnswer(tracker, step, answer); });
     }
 
+    using count_windows = std::map<Usage::window_number, Usage::account_counts>;
+
+    /// @return the windows whose counts have to be written now: those that are over, and open ones at the interval.
+    count_windows windowsToWrite(usage_tracker& tracker, Usage::true_time trueNow, milliseconds interval, Common::instant now)
+    {
+        const Usage::window_number currentWindow = Usage::windowOf(trueNow, tracker.counter.windowLength);
+        Usage::removeBefore(tracker.counter, { currentWindow.value - retainedWindows });
+        // In a large fleet each node counts only a small part of a window, so it writes each window once, after its end.
+        const bool writesOpenWindows = interval < tracker.counter.windowLength && now >= tracker.nextWrite;
+        count_windows due;
+        for (const Usage::window_number window : Usage::unwrittenWindows(tracker.counter)) {
+            const bool isOver = trueNow.value > Usage::endOf(window, tracker.counter.windowLength).value + finalWriteDelay.count();
+            if (isOver || writesOpenWindows)
+                due[window] = tracker.counter.windows[window];
+        }
+        return due;
+    }
+
+    std::vector<Store::row_write> toRows(const usage_tracker& tracker, const count_windows& windows)
+    {
+        const Fleet::node_entry& self = tracker.context.settings.self;
+        std::vector<Store::row_write> rows;
+        rows.reserve(windows.size());
+        for (const auto& [window, counts] : windows)
+            rows.push_back({ countRow(window, self.node, self.incarnation), Usage::encodeCounts(counts) });
+        return rows;
+    }
+
+    void writeDirectly(usage_tracker& tracker, const count_windows& windows)
+    {
+        tracker.isWriting = true;
+        tracker.context.commit({ {}, toRows(tracker, windows), {} }, [&tracker, windows](const Store::rows_answer& answer) {
+            tracker.isWriting = false;
+            if (answer.outcome != Store::call_outcome::Done) {
+                tracker.nextWrite = Common::bootClockNow() + retryDelay;
+                return;
+            }
+            for (const auto& [window, counts] : windows)
+                Usage::markWritten(tracker.counter, window, counts);
+        });
+    }
+
     void perform(usage_tracker& tracker, const remove_rows& step)
     {
         tracker.context.commit(step.transaction, [&tracker, step](const Store::rows_answer& answer) {
@@ -71,39 +115,31 @@
     tracker.unassigned.clear();
 }
 
-void writeCounts(usage_tracker& tracker, Common::instant now)
+std::optional<counts_message> writeCounts(usage_tracker& tracker, const std::optional<Common::node_id>& relay, Common::instant now)
 {
     const auto trueNow = tracker.context.trueTime(now);
-    if (tracker.isWriting || !trueNow || !tracker.context.settings.facts.cloud.wantsUsage)
-        return;
-    const Usage::window_number currentWindow = Usage::windowOf(*trueNow, tracker.counter.windowLength);
-    Usage::removeBefore(tracker.counter, { currentWindow.value - retainedWindows });
-    const Fleet::node_entry& self = tracker.context.settings.self;
-    const milliseconds interval = callIntervalsFor(tracker.context.nodes.size(), tracker.context.settings.facts.bounds).countInterval;
-    // In a large fleet each node counts only a small part of a window, so it writes each window once, after its end.
-    const bool writesOpenWindows = interval < tracker.counter.windowLength && now >= tracker.nextWrite;
-    Store::transaction write;
-    std::map<Usage::window_number, Usage::account_counts> written;
-    for (const Usage::window_number window : Usage::unwrittenWindows(tracker.counter)) {
-        const bool isOver = trueNow->value > Usage::endOf(window, tracker.counter.windowLength).value + finalWriteDelay.count();
-        if (!isOver && !writesOpenWindows)
-            continue;
-        written[window] = tracker.counter.windows[window];
-        write.writes.push_back({ countRow(window, self.node, self.incarnation), Usage::encodeCounts(tracker.counter.windows[window]) });
-    }
-    if (write.writes.empty())
-        return;
-    tracker.isWriting = true;
+    expireUnconfirmed(tracker.sender, now);
+    if (tracker.isWriting || tracker.sender.sent || !trueNow || !tracker.context.settings.facts.cloud.wantsUsage)
+        return {};
+    const bool usesRelay = relay && now >= tracker.sender.directUntil;
+    const milliseconds interval = usesRelay ? relayedCountInterval : callIntervalsFor(tracker.context.nodes.size(), tracker.context.settings.facts.bounds).countInterval;
+    const count_windows due = windowsToWrite(tracker, *trueNow, interval, now);
+    if (due.empty())
+        return {};
     tracker.nextWrite = now + interval;
-    tracker.context.commit(write, [&tracker, written](const Store::rows_answer& answer) {
-        tracker.isWriting = false;
-        if (answer.outcome != Store::call_outcome::Done) {
-            tracker.nextWrite = Common::bootClockNow() + retryDelay;
-            return;
-        }
-        for (const auto& [window, counts] : written)
-            Usage::markWritten(tracker.counter, window, counts);
-    });
+    if (!usesRelay) {
+        writeDirectly(tracker, due);
+        return {};
+    }
+    tracker.sender.last = { tracker.sender.last.value + 1 };
+    tracker.sender.sent = unconfirmed_counts { tracker.sender.last, now, due };
+    return counts_message { *relay, { tracker.sender.last, toRows(tracker, due) } };
+}
+
+void confirmCounts(usage_tracker& tracker, count_sequence sequence)
+{
+    for (const auto& [window, counts] : confirm(tracker.sender, sequence))
+        Usage::markWritten(tracker.counter, window, counts);
 }
 
 void reportUsage(usage_tracker& tracker, Common::instant now)
--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -19,6 +19,8 @@
     constexpr uint32_t responseHeadLimitBytes = 32768;
     constexpr unsigned informationalClass = 1;
     constexpr unsigned statusesPerClass = 100;
+    /// An endpoint in trouble may send informational heads without end.
+    constexpr unsigned maxInformationalHeads = 8;
 
     boost::asio::ip::tcp::endpoint parseAddress(const std::string& address, error_code& error)
     {
@@ -60,6 +62,7 @@
     m_hasWritten = false;
     m_isWriteDone = false;
     m_isActive = true;
+    m_informationalHeads = 0;
     ++m_exchanges;
     if (m_isConnected)
         return write();
@@ -124,7 +127,7 @@
         return finish(exchange_end::Broken);
     const auto& head = m_parser->get();
     if (head.result_int() / statusesPerClass == informationalClass)
-        return readHead();
+        return ++m_informationalHeads > maxInformationalHeads ? finish(exchange_end::Broken) : readHead();
     std::vector<Http::header> headers;
     for (const auto& line : head)
         headers.push_back({ std::string(line.name_string()), std::string(line.value()) });
@@ -148,11 +151,10 @@
         if (error == http::error::need_buffer)
             error = {};
         const size_t size = self->m_chunk.size() - self->m_parser->get().body().size;
-        if (size > 0)
-            self->m_events.onBytes({ self->m_chunk.data(), size });
+        const bool isAccepted = size == 0 || self->m_events.onBytes({ self->m_chunk.data(), size });
         if (self->m_isClosed || !self->m_isActive)
             return;
-        if (error)
+        if (error || !isAccepted)
             return self->finish(exchange_end::Broken);
         self->readBody();
     });
--- a/Source/Core/Gateway/EndpointChannel.h
+++ b/Source/Core/Gateway/EndpointChannel.h
@@ -27,7 +27,7 @@
 /// How an HTTP exchange with an endpoint ended.
 enum class exchange_end {
     NotSent, ///< Certain: no byte of the request was written.
-    Broken, ///< After bytes were written, the connection failed, or the response was invalid or rejected by onHead.
+    Broken, ///< After bytes were written, the connection failed, or the response was invalid or rejected by a callback.
     Complete, ///< The complete response has arrived.
 };
 
@@ -35,7 +35,8 @@
 struct exchange_events {
     /// The head of the response. @return false to abort the exchange.
     std::function<bool(int status, const std::vector<Http::header>& headers)> onHead;
-    std::function<void(std::string_view bytes)> onBytes;
+    /// Bytes of the body. @return false to abort the exchange.
+    std::function<bool(std::string_view bytes)> onBytes;
     /// Called once, as the last callback, unless the channel is cancelled.
     std::function<void(exchange_end end, bool isReusable)> onEnd;
 };
@@ -63,6 +64,9 @@
     uint64_t exchanges() const;
 
 private:
+    /// Bounds what is buffered of a response that the parser can't use yet, such as a chunk's extension.
+    static constexpr size_t maxUnparsedBytes = 65536;
+
     using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     void connect(std::chrono::milliseconds timeout);
@@ -75,12 +79,13 @@
     std::string m_address;
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
     std::optional<response_parser> m_parser;
     std::array<char, 8192> m_chunk {};
     std::string m_request;
     exchange_events m_events;
     uint64_t m_exchanges { 0 };
+    unsigned m_informationalHeads { 0 }; ///< Received in this exchange.
     bool m_isConnected { false };
     bool m_hasWritten { false };
     bool m_isWriteDone { false };
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -40,6 +40,8 @@
     /// directory answer for up to three times its lifetime.
     constexpr double acceptingShareOfGrace = 0.75;
     constexpr uint32_t leastUrgentLevel = 9;
+    /// An event is forwarded when it is complete, so an endless one would fill the memory.
+    constexpr size_t maxEventBytes = size_t { 256 } * 1024;
 
     Common::instant clockNow()
     {
@@ -190,8 +192,7 @@
         };
         events.onBytes = [this, session, id](std::string_view bytes) {
             proxied_call* activeCall = find(session, id);
-            if (activeCall)
-                handleBytes(*activeCall, bytes);
+            return activeCall && handleBytes(*activeCall, bytes);
         };
         events.onEnd = [this, session, id](exchange_end end, bool isReusable) {
             proxied_call* activeCall = find(session, id);
@@ -216,18 +217,25 @@
         return !current.isForOtherRequest;
     }
 
-    void handleBytes(proxied_call& call, std::string_view bytes)
+    /// @return false if the endpoint has sent more than an answer can hold.
+    bool handleBytes(proxied_call& call, std::string_view bytes)
     {
         attempt& current = *call.currentAttempt;
         if (!current.isStartRecorded)
             recordStart(call);
         if (!current.hasEvents) {
             current.body += bytes;
-            return;
+            return current.body.size() <= call.catalog->limits.bodyBytes;
         }
         const std::string events = extractEvents(call.events, bytes);
-        if (events.empty())
-            return;
+        if (!events.empty())
+            forwardEvents(call, events);
+        return call.events.partial.size() <= maxEventBytes;
+    }
+
+    void forwardEvents(proxied_call& call, std::string_view events)
+    {
+        attempt& current = *call.currentAttempt;
         if (!call.progress.hasHeadSent) {
             call.progress.hasHeadSent = true;
             call.firstByteMs = toMs(clockNow() - call.arrived);
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -235,6 +235,25 @@
             sendTo(id, outgoing);
     }
 
+    void handle(push_usage_counts&& message)
+    {
+        envelope outgoing;
+        outgoing.mutable_usage_counts()->set_sequence(message.sequence);
+        for (auto& [key, value] : message.rows) {
+            auto* row = outgoing.mutable_usage_counts()->add_rows();
+            row->set_key(std::move(key));
+            row->set_value(std::move(value));
+        }
+        sendTo(message.receiver, outgoing);
+    }
+
+    void handle(confirm_usage_counts&& message)
+    {
+        envelope outgoing;
+        outgoing.mutable_usage_counts_written()->set_sequence(message.sequence);
+        sendTo(message.receiver, outgoing);
+    }
+
     void handle(offer_transfer&& message)
     {
         // A repeated offer of a request goes to another peer than the previous one.
@@ -309,6 +328,15 @@
             outlets.tableChangesReceived(sender, std::move(tables));
     }
 
+    void handleUsageCounts(const Common::node_id& sender, const filbertreel::peer::usage_counts& body)
+    {
+        std::vector<std::pair<std::string, std::string>> rows;
+        for (const auto& row : body.rows())
+            rows.emplace_back(row.key(), row.value());
+        if (outlets.usageCountsReceived)
+            outlets.usageCountsReceived(sender, body.sequence(), std::move(rows));
+    }
+
     void handleEnvelope(const envelope& message)
     {
         const Common::node_id sender { message.sender() };
@@ -353,6 +381,12 @@
             return outlets.catalogReceived(message.catalog_text().version(), std::string(message.catalog_text().text()));
         case envelope::kRelayedTables:
             return handleTableChanges(sender, message.relayed_tables());
+        case envelope::kUsageCounts:
+            return handleUsageCounts(sender, message.usage_counts());
+        case envelope::kUsageCountsWritten:
+            if (outlets.usageCountsConfirmed)
+                outlets.usageCountsConfirmed(message.usage_counts_written().sequence());
+            return;
         case envelope::BODY_NOT_SET:
             return;
         }
--- a/Source/Core/Membership/PeerDuty.h
+++ b/Source/Core/Membership/PeerDuty.h
@@ -64,6 +64,19 @@
     std::vector<Store::relayed_changes> tables;
 };
 
+/// Send a peer usage counts that it writes to the store for this node.
+struct push_usage_counts {
+    Common::node_id receiver;
+    uint64_t sequence { 0 };
+    std::vector<std::pair<std::string, std::string>> rows; ///< Key and value.
+};
+
+/// Confirm to a peer that its usage counts are in the store.
+struct confirm_usage_counts {
+    Common::node_id receiver;
+    uint64_t sequence { 0 };
+};
+
 /// Send the linked peers the instances that are new on the cloud's list.
 struct push_instances {
     std::vector<Endpoints::instance_info> instances;
@@ -108,7 +121,7 @@
 };
 
 using peer_message = std::variant<seeds_changed, configuration_changed, leave_started, push_changes, pull_changes, reply_changes,
-    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog, push_table_changes>;
+    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog, push_table_changes, push_usage_counts, confirm_usage_counts>;
 
 /// Callbacks for what the duty receives and finds. They run on the duty's thread and must not block.
 struct peer_outlets {
@@ -127,6 +140,9 @@
     std::function<void(const Common::node_id& peer, uint64_t after)> catalogRequested;
     std::function<void(uint64_t version, std::string&& text)> catalogReceived;
     std::function<void(const Common::node_id& peer, std::vector<Store::relayed_changes>&& tables)> tableChangesReceived;
+    /// A peer has sent usage counts, as rows with key and value.
+    std::function<void(const Common::node_id& peer, uint64_t sequence, std::vector<std::pair<std::string, std::string>>&& rows)> usageCountsReceived;
+    std::function<void(uint64_t sequence)> usageCountsConfirmed;
 };
 
 struct peer_settings {
--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -207,6 +207,20 @@
     return delayDecreases(planState, wanted, now);
 }
 
+wanted_map withoutReleases(wanted_map wanted, const Fleet::endpoint_map& endpoints, const std::set<Common::service_name>& changingVersion)
+{
+    for (const Common::service_name& service : changingVersion) {
+        const supply_map supply = countSupply(endpoints, service);
+        std::erase_if(wanted, [&](const auto& entry) {
+            const auto present = supply.find(entry.first.zone);
+            if (entry.first.service != service || present == supply.end())
+                return false;
+            return entry.second < (entry.first.isReclaimable ? present->second.reclaimable : present->second.plain);
+        });
+    }
+    return wanted;
+}
+
 wanted_map delayDecreases(plan_state& planState, const wanted_map& planned, Common::instant now)
 {
     for (const auto& [target, count] : planned) {
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -201,6 +201,39 @@
     CHECK_EQUAL(4, planServices(catalog, endpoints, demand, orders, planState, milliseconds(3300), at(62000))[target]);
 }
 
+TEST(Plan, EndpointsAreNotReleasedWhileTheirVersionChanges)
+{
+    // The new version's endpoints were started beside the old ones, so the zone has twice as many as are needed. An order of
+    // the needed number would release some of both, and after the change the new version could not carry the load.
+    Fleet::endpoint_map endpoints;
+    for (int number = 0; number < 12; ++number) {
+        Fleet::endpoint item = makeEndpoint(number, number % 2 == 0);
+        item.version = { number < 6 ? "v1" : "v2" };
+        endpoints.emplace(item.id, item);
+    }
+    struct row {
+        const char* condition;
+        uint32_t wanted; ///< The zone has two plain and two reclaimable endpoints.
+        bool isReclaimable;
+        bool isChanging;
+        bool isOrdered;
+    };
+    const row rows[] = {
+        { "fewer reclaimable", 1, true, true, false },
+        { "fewer plain", 0, false, true, false },
+        { "as many", 2, true, true, true },
+        { "more", 4, true, true, true },
+        { "fewer, no change of version", 0, false, false, true },
+    };
+    for (const row& item : rows) {
+        const order_target target { { "s" }, { "a" }, item.isReclaimable };
+        std::set<Common::service_name> changing;
+        if (item.isChanging)
+            changing.insert({ "s" });
+        CHECK_EQUAL_TEXT(item.isOrdered, withoutReleases({ { target, item.wanted } }, endpoints, changing).contains(target), item.condition);
+    }
+}
+
 TEST(Plan, OrdersAreRepeatedUntilConfirmedAndAfterALoss)
 {
     order_tracker orders;
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -137,6 +137,12 @@
         outlets.relayChanges = [this](std::vector<Common::node_id> receivers, std::vector<Store::relayed_changes> tables) {
             static_cast<void>(peers.submit(Membership::push_table_changes { std::move(receivers), std::move(tables) }));
         };
+        outlets.sendUsageCounts = [this](const Common::node_id& relay, uint64_t sequence, std::vector<std::pair<std::string, std::string>> rows) {
+            static_cast<void>(peers.submit(Membership::push_usage_counts { relay, sequence, std::move(rows) }));
+        };
+        outlets.confirmUsageCounts = [this](const Common::node_id& node, uint64_t sequence) {
+            static_cast<void>(peers.submit(Membership::confirm_usage_counts { node, sequence }));
+        };
         outlets.broadcastEvidence = [this](const Rollout::broadcast_evidence& evidence) { static_cast<void>(peers.submit(Membership::push_evidence { evidence })); };
         outlets.broadcastLatch = [this](const Rollout::broadcast_latch& latch) { static_cast<void>(peers.submit(Membership::push_bad_version { latch })); };
         return outlets;
@@ -166,6 +172,10 @@
         outlets.startLeavingReceived = [this](const Common::endpoint_id& id, int64_t startedMs) { static_cast<void>(control.submit(Control::endpoint_leaving_received { id, { startedMs } })); };
         outlets.catalogRequested = [this](const Common::node_id& peer, uint64_t after) { static_cast<void>(control.submit(Control::catalog_requested { peer, after })); };
         outlets.catalogReceived = [this](uint64_t version, std::string&& text) { static_cast<void>(control.submit(Control::catalog_received { version, std::move(text) })); };
+        outlets.usageCountsReceived = [this](const Common::node_id& peer, uint64_t sequence, std::vector<std::pair<std::string, std::string>>&& rows) {
+            static_cast<void>(control.submit(Control::usage_counts_received { peer, sequence, std::move(rows) }));
+        };
+        outlets.usageCountsConfirmed = [this](uint64_t sequence) { static_cast<void>(control.submit(Control::usage_counts_confirmed { sequence })); };
         outlets.tableChangesReceived = [this](const Common::node_id& peer, std::vector<Store::relayed_changes>&& tables) {
             static_cast<void>(control.submit(Control::table_changes_received { peer, std::move(tables) }));
         };
--- a/Tests/Platform/GatewayTest.cpp
+++ b/Tests/Platform/GatewayTest.cpp
@@ -353,3 +353,46 @@
     CHECK_EQUAL(200, statusOf(answer));
     CHECK(answer.find("Connection: close") != std::string::npos);
 }
+
+TEST(PlatformGateway, EndlessAnswersAreEndedAtOnceAndTheEndpointIsNotReused)
+{
+    // The endpoint sends the second part of its script again and again until the gateway closes the connection.
+    const std::string junk(16384, 'x');
+    struct row {
+        const char* condition;
+        const char* target;
+        std::string start;
+        std::string repeated;
+        int status; ///< Zero: the stream breaks off.
+    };
+    const row rows[] = {
+        { "a head line without end", "/once/x", "HTTP/1.1 200 OK\r\nX-Long: ", junk, 502 },
+        { "header lines without end", "/once/x", "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n", 502 },
+        { "no HTTP at all", "/once/x", "", junk, 502 },
+        { "informational heads without end", "/once/x", "", "HTTP/1.1 100 Continue\r\n\r\n", 502 },
+        { "a body without length or end", "/once/x", answerHead + "\r\n", junk, 502 },
+        { "chunks without end", "/once/x", answerHead + "Transfer-Encoding: chunked\r\n\r\n", chunk(junk), 502 },
+        { "a failure without end", "/once/x", "HTTP/1.1 500 Oops\r\n\r\n", junk, 502 },
+        { "a chunk extension without end", "/once/x", answerHead + "Transfer-Encoding: chunked\r\n\r\n5;", junk, 502 },
+        { "an event without end", "/stream/x", streamHead, chunk(junk), 502 },
+        { "an event without end after a sound one", "/stream/x", streamHead + chunk("id: 1\ndata: a\n\n"), chunk(junk), 0 },
+        { "an event without end, idempotent", "/idem/x", answerHead + "\r\n", junk, 200 },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { { item.start, answer_end::Endless, item.repeated } }, { { completeAnswer } } });
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest(item.target));
+        const std::string answer = caller.receive();
+        if (item.status == 0) {
+            CHECK_TEXT(answer.find("data: a") != std::string::npos, item.condition);
+            CHECK_TEXT(!isComplete(answer), item.condition);
+        } else {
+            CHECK_EQUAL_TEXT(item.status, statusOf(answer), item.condition);
+        }
+        for (int tries = 0; tries < 100 && gateway.endpoints[0]->abandoned() == 0; ++tries)
+            std::this_thread::sleep_for(milliseconds(10));
+        CHECK_EQUAL_TEXT(1, gateway.endpoints[0]->abandoned(), item.condition);
+        // The end of the request would have been 504 and only after its time budget.
+        CHECK_TEXT(gateway.endpoints[0]->bytesSent() < 64U * 1024 * 1024, item.condition);
+    }
+}
--- a/Tests/Platform/ScriptedEndpoint.cpp
+++ b/Tests/Platform/ScriptedEndpoint.cpp
@@ -80,6 +80,11 @@
     return m_requests;
 }
 
+size_t scripted_endpoint::bytesSent() const
+{
+    return m_bytesSent;
+}
+
 int scripted_endpoint::abandoned() const
 {
     return m_abandoned;
@@ -138,10 +143,23 @@
             socket.set_option(boost::asio::socket_base::linger(true, 0), error);
         if (answer.end == answer_end::Reset || answer.end == answer_end::Close)
             return socket.close();
+        if (answer.end == answer_end::Endless)
+            return sendWithoutEnd(socket, answer.repeated);
         isWaiting = answer.end == answer_end::Wait;
     }
 }
 
+void scripted_endpoint::sendWithoutEnd(tcp::socket& socket, const std::string& repeated)
+{
+    error_code error;
+    while (!m_isStopping && !error) {
+        pollfd waiting { socket.native_handle(), POLLOUT, 0 };
+        if (poll(&waiting, 1, pollIntervalMs) > 0)
+            m_bytesSent += socket.write_some(boost::asio::buffer(repeated), error);
+    }
+    m_abandoned += error ? 1 : 0;
+}
+
 raw_caller::raw_caller(uint16_t port)
     : m_socket(m_context)
 {
--- a/Tests/Platform/ScriptedEndpoint.h
+++ b/Tests/Platform/ScriptedEndpoint.h
@@ -20,12 +20,14 @@
     Close, ///< Closes the connection.
     Reset, ///< Resets the connection.
     Wait, ///< Sends nothing more and expects the other side to close.
+    Endless, ///< Sends scripted_answer::repeated until the other side closes.
 };
 
 /// One answer. "@ID@" in the bytes is replaced by the request's attempt id.
 struct scripted_answer {
     std::string bytes;
     answer_end end { answer_end::Keep };
+    std::string repeated {};
 };
 
 class scripted_endpoint {
@@ -40,13 +42,16 @@
     std::string address() const;
     /// @return the requests that arrived, byte for byte.
     std::vector<std::string> requests() const;
-    /// @return the number of connections that the other side closed after an answer with answer_end::Wait.
+    /// @return the number of connections that the other side closed after an answer with answer_end::Wait or Endless.
     int abandoned() const;
+    /// @return bytes sent of answers with answer_end::Endless.
+    size_t bytesSent() const;
 
 private:
     void serve();
     void serveConnection(boost::asio::ip::tcp::socket socket);
     scripted_answer nextAnswer(const std::string& request);
+    void sendWithoutEnd(boost::asio::ip::tcp::socket& socket, const std::string& repeated);
 
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
@@ -55,6 +60,7 @@
     std::vector<std::string> m_requests;
     std::vector<std::thread> m_connections;
     std::atomic<int> m_abandoned { 0 };
+    std::atomic<size_t> m_bytesSent { 0 };
     std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
 };
