--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -8,9 +8,9 @@
 #include "Control/ControlContext.h"
 #include "Control/EndpointOrders.h"
 #include "Control/NodeRows.h"
-#include "Control/RolloutTracker.h"
+#include "Control/RolloutRunner.h"
 #include "Control/TableRelay.h"
-#include "Control/UsageTracker.h"
+#include "Control/UsageRelay.h"
 #include "Store/TableWatch.h"
 
 #include <algorithm>
@@ -25,15 +25,14 @@
     constexpr milliseconds maxPollTime { 200 };
     constexpr const char* nodeTable = "nodes";
     constexpr uint64_t nonceBits = 48;
-    constexpr milliseconds rolloutTickInterval { 200 };
 
 } // namespace
 
 struct control_duty::implementation {
     control_context context;
+    control_outlets outlets;
     usage_tracker usage { context };
     endpoint_orders orders { context };
-    control_outlets outlets;
     Common::ring<control_message> inbox { ringCapacity };
     std::vector<control_message> batch;
     std::atomic<bool> isStopping { false };
@@ -43,11 +42,10 @@
     node_rows nodeRows { context };
     Store::table_watch statusWatch; ///< Polled only while a rollout is in progress.
     table_relay relay;
-    count_relay countRelay;
+    usage_relay usageRelay { context, outlets, usage };
     std::string catalogText; ///< The catalog in the platform's format, for peers that can't reach the store.
     bool wasHolder { false };
-    rollout_tracker rollouts;
-    Common::instant nextRolloutTick;
+    rollout_runner rollouts { context, outlets };
 
     // --- Watched tables
 
@@ -82,76 +80,12 @@
     void operatorRowsChanged()
     {
         applyCatalog(operatorWatch.rows, "store");
-        perform(applyOrders(rollouts, context.settings.calls.rollouts(operatorWatch.rows), operatorWatch.rows, Common::bootClockNow()));
-    }
-
-    void statusRowsChanged()
-    {
-        for (const auto& [service, rollout] : std::map(rollouts.rollouts)) {
-            for (const auto& [key, row] : statusWatch.rows) {
-                const auto status = context.settings.calls.readRolloutStatus(row, rollout.order);
-                // A row older than the order belongs to an earlier rollout to the same version.
-                if (status && key.ends_with("/" + service.value) && row.version > rollout.orderVersion)
-                    perform(applyReportedStatus(rollouts, service, *status, Common::bootClockNow()));
-            }
-        }
-    }
-
-    // --- Rollouts
-
-    void perform(const rollout_actions& actions)
-    {
-        for (const Rollout::rollout_action& action : actions)
-            std::visit([this](const auto& item) { perform(item); }, action);
-    }
-
-    void perform(const Rollout::publish_shares& action)
-    {
-        for (const auto& [version, share] : action.shares) {
-            Common::logEvent(Common::log_level::Info, "version_share", { { "service", action.service }, { "version", version.value }, { "thousandths", share } });
-            outlets.sendToGateway(Gateway::version_share_update { { action.service }, version, share });
-        }
-        // No shares: the rollout is complete, and the new version receives all requests.
-        const auto ended = rollouts.rollouts.find({ action.service });
-        if (action.shares.empty() && ended != rollouts.rollouts.end())
-            outlets.sendToGateway(Gateway::version_share_update { { action.service }, ended->second.order.to, 1000 });
-    }
-
-    void perform(const Rollout::broadcast_evidence& action) { outlets.broadcastEvidence(action); }
-
-    void perform(const Rollout::broadcast_latch& action)
-    {
-        Common::logEvent(Common::log_level::Warning, "version_latched", { { "service", action.key.service }, { "version", action.key.version.value }, { "cause", action.cause } });
-        outlets.broadcastLatch(action);
+        perform(rollouts, applyOrders(rollouts.tracker, context.settings.calls.rollouts(operatorWatch.rows), operatorWatch.rows, Common::bootClockNow()));
     }
 
-    void perform(const Rollout::propose_end& action) { recordProposal(rollouts, action); }
+    void statusRowsChanged() { readStatusRows(rollouts, statusWatch.rows); }
 
-    void tickRollouts(Common::instant now)
-    {
-        if (!isActive(rollouts) || now < nextRolloutTick)
-            return;
-        nextRolloutTick = now + rolloutTickInterval;
-        perform(evaluate(rollouts, Rollout::rollout_tick {}, now));
-    }
-
-    void reportRollouts()
-    {
-        const auto report = nextReport(rollouts);
-        if (!report)
-            return;
-        Store::transaction write;
-        write.writes.push_back(context.settings.calls.rolloutStatus(report->order, *report->proposed));
-        Common::logEvent(Common::log_level::Info, "rollout_reported", { { "service", report->order.service.value }, { "version", report->order.to.value }, { "status", static_cast<int>(*report->proposed) } });
-        context.commit(write, [this, report](const Store::rows_answer& answer) {
-            const auto known = rollouts.rollouts.find(report->order.service);
-            if (known == rollouts.rollouts.end())
-                return;
-            known->second.isReporting = false;
-            if (answer.outcome == Store::call_outcome::Done)
-                perform(applyReportedStatus(rollouts, report->order.service, *report->proposed, Common::bootClockNow()));
-        });
-    }
+    // --- The catalog
 
     void applyCatalog(const std::map<std::string, Store::row>& rows, const char* source)
     {
@@ -197,7 +131,7 @@
         readNodeRows(nodeRows);
         relay.ranking = rankRelays(context.nodes, context.settings.self.zone);
         updateCallIntervals();
-        perform(evaluate(rollouts, Rollout::node_count_changed { context.nodes.size() }, Common::bootClockNow()));
+        perform(rollouts, evaluate(rollouts.tracker, Rollout::node_count_changed { context.nodes.size() }, Common::bootClockNow()));
         outlets.publishNodes(context.nodes);
     }
 
@@ -264,56 +198,6 @@
             applyTableChanges(changes, now);
     }
 
-    // --- Usage counts by way of the relay
-
-    void writeUsageCounts(Common::instant now)
-    {
-        const Common::node_id& self = context.settings.self.node;
-        auto message = writeCounts(usage, currentRelay(relay, self, now), now);
-        if (!message)
-            return;
-        if (message->relay == self)
-            return addCounts(countRelay, self, std::move(message->counts), now);
-        std::vector<std::pair<std::string, std::string>> rows;
-        rows.reserve(message->counts.rows.size());
-        for (Store::row_write& row : message->counts.rows)
-            rows.emplace_back(std::move(row.name.key), std::move(row.value));
-        outlets.sendUsageCounts(message->relay, message->counts.sequence.value, std::move(rows));
-    }
-
-    void writeRelayedCounts(Common::instant now)
-    {
-        const auto batch = takeBatch(countRelay, now);
-        if (!batch)
-            return;
-        context.commit(batch->write, [this, senders = batch->senders](const Store::rows_answer& answer) {
-            countRelay.isWriting = false;
-            // Without a confirmation the senders write their counts themselves.
-            if (answer.outcome != Store::call_outcome::Done)
-                return;
-            for (const auto& [node, sequence] : senders)
-                confirmWritten(node, sequence);
-        });
-    }
-
-    void confirmWritten(const Common::node_id& node, count_sequence sequence)
-    {
-        if (node == context.settings.self.node)
-            confirmCounts(usage, sequence);
-        else
-            outlets.confirmUsageCounts(node, sequence.value);
-    }
-
-    void handle(usage_counts_received&& message)
-    {
-        relayed_counts counts { { message.sequence }, {} };
-        for (auto& [key, value] : message.rows)
-            counts.rows.push_back({ countRow(key), std::move(value) });
-        addCounts(countRelay, message.from, std::move(counts), Common::bootClockNow());
-    }
-
-    void handle(usage_counts_confirmed&& message) { confirmCounts(usage, { message.sequence }); }
-
     void applyTableChanges(const Store::relayed_changes& changes, Common::instant now)
     {
         const Common::instant confirmedAt = localTimeOf(*context.storeClock, changes.confirmedAt);
@@ -381,8 +265,8 @@
         if (!mayAct)
             return;
         reportUsage(usage, now);
-        orderEndpoints(orders, activeServices(rollouts), now);
-        reportRollouts();
+        orderEndpoints(orders, activeServices(rollouts.tracker), now);
+        reportRollouts(rollouts);
         removeDeadNodes(nodeRows);
     }
 
@@ -432,6 +316,10 @@
             outlets.sendCatalog(message.peer, context.catalog->version, catalogText);
     }
 
+    void handle(usage_counts_received&& message) { addRelayedCounts(usageRelay, std::move(message), Common::bootClockNow()); }
+
+    void handle(usage_counts_confirmed&& message) { confirmCounts(usage, { message.sequence }); }
+
     void handle(dead_nodes_updated&& message)
     {
         nodeRows.deadNodes = std::move(message.nodes);
@@ -454,11 +342,11 @@
         context.settings.facts.cloud = message.facts.cloud;
     }
 
-    void handle(Gateway::attempt_report&& message) { perform(evaluate(rollouts, toObservedAttempt(message), Common::bootClockNow())); }
+    void handle(Gateway::attempt_report&& message) { perform(rollouts, evaluate(rollouts.tracker, toObservedAttempt(message), Common::bootClockNow())); }
 
-    void handle(Rollout::peer_evidence&& message) { perform(evaluate(rollouts, std::move(message), Common::bootClockNow())); }
+    void handle(Rollout::peer_evidence&& message) { perform(rollouts, evaluate(rollouts.tracker, std::move(message), Common::bootClockNow())); }
 
-    void handle(Rollout::peer_latch&& message) { perform(evaluate(rollouts, std::move(message), Common::bootClockNow())); }
+    void handle(Rollout::peer_latch&& message) { perform(rollouts, evaluate(rollouts.tracker, std::move(message), Common::bootClockNow())); }
 
     void handleMessages()
     {
@@ -475,15 +363,15 @@
         follow(operatorWatch, &implementation::operatorRowsChanged);
         follow(endpointWatch, &implementation::endpointRowsChanged);
         follow(nodeRows.watch, &implementation::nodeRowsChanged);
-        if (isActive(rollouts))
+        if (isActive(rollouts.tracker))
             follow(statusWatch, &implementation::statusRowsChanged);
         relayChanges(now);
-        tickRollouts(now);
+        tickRollouts(rollouts, now);
         dropMissingEndpoints(now);
         registerSelf(nodeRows, now);
         assignRequests(usage, now);
-        writeUsageCounts(now);
-        writeRelayedCounts(now);
+        writeUsageCounts(usageRelay, currentRelay(relay, context.settings.self.node, now), now);
+        writeRelayedCounts(usageRelay, now);
         maintainLease(now);
         runHolderTasks(now);
     }
@@ -500,7 +388,7 @@
     self.statusWatch.settings.table = self.context.settings.calls.statusTable;
     self.nodeRows.watch.settings.table = nodeTable;
     self.updateCallIntervals();
-    self.rollouts = makeRolloutTracker(self.context.settings.facts.bounds.exposureShare);
+    self.rollouts.tracker = makeRolloutTracker(self.context.settings.facts.bounds.exposureShare);
     self.context.lease.settings.self = self.context.settings.self.node;
     self.context.lease.settings.duration = std::max(self.context.lease.settings.duration, self.context.settings.facts.bounds.lease + milliseconds(600));
     self.context.lease.lastNonce = self.context.settings.seed & ((uint64_t { 1 } << nonceBits) - 1);
--- a/Source/Core/Control/CountRelay.cpp
+++ b/Source/Core/Control/CountRelay.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-    /// Collects the counts of the zone's nodes.
-    constexpr milliseconds batchDelay { 900 };
+    /// Collects the counts of the zone's nodes, which send them at the same time by their clocks.
+    constexpr milliseconds batchDelay { 250 };
     /// The store accepts 100 entries per transaction.
     constexpr size_t maxBatchRows = 90;
     /// Longer than the relay's delay and its call. A node that writes its final counts itself after this is still in time
--- a/Source/Core/Control/Tests/TableRelayTest.cpp
+++ b/Source/Core/Control/Tests/TableRelayTest.cpp
@@ -2,8 +2,8 @@
 /// Relaying of the store's tables: nodes of one zone with a store on a virtual clock, while messages are lost and relays
 /// fail.
 
-#include "Control/StoreCallIntervals.h"
 #include "Control/TableRelay.h"
+#include "Control/StoreCallIntervals.h"
 #include "Control/TrueTime.h"
 
 #include "Common/Random.h"
--- a/Source/Core/Control/UsageTracker.cpp
+++ b/Source/Core/Control/UsageTracker.cpp
@@ -126,11 +126,13 @@
     const count_windows due = windowsToWrite(tracker, *trueNow, interval, now);
     if (due.empty())
         return {};
-    tracker.nextWrite = now + interval;
     if (!usesRelay) {
+        tracker.nextWrite = now + interval;
         writeDirectly(tracker, due);
         return {};
     }
+    // The nodes of a zone send at the same time, so that the relay need not wait for some of them.
+    tracker.nextWrite = now + interval - milliseconds(trueNow->value % interval.count());
     tracker.sender.last = { tracker.sender.last.value + 1 };
     tracker.sender.sent = unconfirmed_counts { tracker.sender.last, now, due };
     return counts_message { *relay, { tracker.sender.last, toRows(tracker, due) } };
--- a/Source/Core/Lease/Lease.cpp
+++ b/Source/Core/Lease/Lease.cpp
@@ -8,8 +8,6 @@
 
     constexpr const char* leaseTable = "filbertreel";
     constexpr const char* leaseKey = "lease";
-    /// An order sent less than this before the end of the lease may arrive after it.
-    constexpr milliseconds actMargin { 400 };
     /// Allowance for the difference between the clocks of two nodes that determine whether a lease has lapsed.
     constexpr milliseconds clockTolerance { 200 };
     constexpr milliseconds retryDelay { 250 };
@@ -136,7 +134,7 @@
 
 bool mayAct(const lease_state& state, Common::instant now)
 {
-    return state.isHeld && now + actMargin < state.heldUntil;
+    return state.isHeld && now + state.settings.orderTime < state.heldUntil;
 }
 
 void requireRenewal(lease_state& state, Common::instant now)
--- a/Source/Core/Lease/Lease.h
+++ b/Source/Core/Lease/Lease.h
@@ -23,6 +23,9 @@
     milliseconds duration { 3600 }; ///< Longer than the time within which a previous holder must not return.
     milliseconds renewInterval { 1200 };
     milliseconds watchInterval { 1500 }; ///< Between two reads by a node that is not the holder; depends on its rank.
+    /// Longest time from the check of mayAct() to the arrival of the order. An order must not arrive after the end of the
+    /// lease: platforms that check no fencing tokens would let it override those of the next holder.
+    milliseconds orderTime { 1300 };
 };
 
 /// Content of the row.
--- a/Source/Core/Lease/Tests/LeaseTest.cpp
+++ b/Source/Core/Lease/Tests/LeaseTest.cpp
@@ -5,6 +5,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
+
 namespace {
 
 using namespace Lease;
@@ -156,6 +158,120 @@
     CHECK(!mayAct(node, at(5000)));
 }
 
+namespace {
+
+constexpr int stepMs = 600;
+constexpr int steps = 12;
+/// An order arrives at any time from its start to the time limit of its call.
+constexpr int callTimeLimitMs = 1200;
+constexpr int leaseMs = 3000;
+
+enum class call_fate {
+    Answered,
+    AnswerLost, ///< The store has performed the call.
+    Lost, ///< The store has not received the call.
+};
+
+struct sent_order {
+    size_t node;
+    uint64_t fence;
+    int sentAt;
+};
+
+/// Two nodes and the store, with the orders that the nodes have sent so far.
+struct two_nodes {
+    std::array<lease_state, 2> nodes;
+    one_row_store store;
+    std::vector<sent_order> orders;
+};
+
+/// A pause of one node: it neither calls nor orders, and its clock goes on.
+struct pause {
+    size_t node { 0 };
+    int first { 0 };
+    int count { 0 };
+};
+
+bool isPaused(const pause& item, size_t node, int step)
+{
+    return item.node == node && step >= item.first && step < item.first + item.count;
+}
+
+/// @return why the orders break the rules of a platform that checks no fencing tokens; empty if they don't.
+std::string findBreach(const std::vector<sent_order>& orders)
+{
+    const sent_order& last = orders.back();
+    bool hasOtherBetween = false;
+    for (auto earlier = orders.rbegin() + 1; earlier != orders.rend(); ++earlier) {
+        if (earlier->node == last.node) {
+            if (hasOtherBetween && last.sentAt - earlier->sentAt < leaseMs)
+                return "a holder returned within the lease time";
+            continue;
+        }
+        hasOtherBetween = true;
+        if (earlier->fence > last.fence)
+            return "an order with an older token was sent later";
+        if (earlier->sentAt + callTimeLimitMs > last.sentAt)
+            return "an earlier holder's order may arrive after that of its successor";
+    }
+    return {};
+}
+
+/// Plays all fates of all calls from this step on.
+/// @return the first breach found; empty if there is none.
+std::string explore(const two_nodes& state, const pause& paused, int step, size_t node, size_t& plays)
+{
+    if (step == steps) {
+        ++plays;
+        return {};
+    }
+    const size_t nextNode = 1 - node;
+    const int nextStep = step + (node == 1 ? 1 : 0);
+    if (isPaused(paused, node, step))
+        return explore(state, paused, nextStep, nextNode, plays);
+    const int now = step * stepMs;
+    for (const call_fate fate : { call_fate::Answered, call_fate::AnswerLost, call_fate::Lost }) {
+        two_nodes next = state;
+        lease_state& self = next.nodes[node];
+        const auto call = nextCall(self, at(now));
+        if (call) {
+            const Store::rows_answer answer = fate == call_fate::Lost ? Store::rows_answer {} : next.store.answer(*call, now);
+            handleAnswer(self, fate == call_fate::Answered ? answer : Store::rows_answer {}, at(now));
+        }
+        if (mayAct(self, at(now))) {
+            next.orders.push_back({ node, self.fence.value, now });
+            const std::string breach = findBreach(next.orders);
+            if (!breach.empty())
+                return breach;
+        }
+        const std::string breach = explore(next, paused, nextStep, nextNode, plays);
+        if (!breach.empty() || !call)
+            return breach;
+    }
+    return {};
+}
+
+} // namespace
+
+TEST(Lease, NoOrderOfTwoHoldersOverlapsWhateverHappensToTheCallsAndPauses)
+{
+    // The first node holds the lease at the start. All fates of all calls to the store are played, each with pauses of
+    // either node of several lengths, for 7.2 s: longer than a lease and its takeover.
+    size_t plays = 0;
+    for (const size_t node : { 0, 1 }) {
+        for (const int count : { 0, 3, 6, 9 }) {
+            for (int first = 0; first < (count == 0 ? 1 : 6); ++first) {
+                two_nodes start;
+                start.nodes = { makeNode("a", 100), makeNode("b", 200) };
+                callAll(start.nodes[0], start.store, 0);
+                const std::string breach = explore(start, { node, first, count }, 0, 0, plays);
+                CHECK_EQUAL(std::string(), breach);
+            }
+        }
+    }
+    CHECK(plays > 10000);
+}
+
 TEST(Lease, AnUnreadableRecordIsRejected)
 {
     for (const char* text : { "", "[]", "{}", "{\"holder\":\"a\"}", "x" })
