Rollout: a late latch does not stop a version that is current; evidence less often in a large fleet

A node that reads the status late still compares versions; at the end of a rollout the old endpoints stop, and failures of that moment can make it latch the new version. Its latch set the share to 0 on nodes that had seen the end, for good, and no other version has endpoints. Change: a latch for a version that is current is ignored. Test: ALatchFromANodeThatHasNotSeenTheEndIsIgnoredOnceTheVersionIsCurrent, red without the change.

Each node sent its evidence to every other one each 300 ms: 985 messages a second received by each of 295 nodes. Now the interval grows with the nodes, up to five times. Test: NodesOfALargeFleetSendTheirEvidenceLessOften.

--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -417,3 +417,54 @@
     simulation.apply(evaluate(simulation.tracker, Rollout::peer_latch { { "s", { "v2" } }, "failing" }, at(100)));
     CHECK_EQUAL(0, simulation.share);
 }
+
+TEST(RolloutTracker, ALatchFromANodeThatHasNotSeenTheEndIsIgnoredOnceTheVersionIsCurrent)
+{
+    // At the end of a rollout the previous version's endpoints stop. A node that reads the status later still compares the
+    // versions, and failures of that moment can make it latch the new one. All other endpoints are gone by then.
+    struct row {
+        const char* condition;
+        std::optional<rollout_status> reported;
+        bool latches;
+    };
+    const row rows[] = {
+        { "in progress", std::nullopt, true },
+        { "completed", rollout_status::Completed, false },
+    };
+    for (const row& item : rows) {
+        simulated_rollout simulation;
+        simulation.order();
+        if (item.reported)
+            simulation.apply(applyReportedStatus(simulation.tracker, { "s" }, *item.reported, at(100)));
+        const rollout_actions actions = evaluate(simulation.tracker, Rollout::peer_latch { { "s", { "v2" } }, "failing" }, at(200));
+        bool publishesZero = false;
+        for (const Rollout::rollout_action& action : actions) {
+            const auto* shares = std::get_if<Rollout::publish_shares>(&action);
+            publishesZero = publishesZero || (shares && shares->shares.contains({ "v2" }) && shares->shares.at({ "v2" }) == 0);
+        }
+        CHECK_EQUAL_TEXT(item.latches, publishesZero, item.condition);
+    }
+}
+
+TEST(RolloutTracker, NodesOfALargeFleetSendTheirEvidenceLessOften)
+{
+    struct row {
+        size_t nodes;
+        int maxMessagesPerSecond; ///< That one node receives from all others.
+    };
+    const row rows[] = { { 8, 30 }, { 82, 80 }, { 395, 280 } };
+    for (const row& item : rows) {
+        simulated_rollout simulation;
+        simulation.order();
+        simulation.apply(evaluate(simulation.tracker, Rollout::node_count_changed { item.nodes }, at(0)));
+        simulation.observe("v2", true, 0);
+        constexpr int seconds = 9;
+        size_t sent = 0;
+        for (int64_t now = 0; now < seconds * 1000; now += 200) {
+            for (const Rollout::rollout_action& action : evaluate(simulation.tracker, Rollout::rollout_tick {}, at(now)))
+                sent += std::holds_alternative<Rollout::broadcast_evidence>(action) ? 1 : 0;
+        }
+        CHECK(sent >= 5);
+        CHECK(sent * item.nodes / seconds <= static_cast<size_t>(item.maxMessagesPerSecond));
+    }
+}
--- a/Source/Core/Rollout/Rollout.cpp
+++ b/Source/Core/Rollout/Rollout.cpp
@@ -18,6 +18,10 @@
     constexpr uint32_t allTraffic = 1000; ///< Thousandths.
     /// Planned time of a rollout whose deadline is not after its start.
     constexpr int64_t fallbackPlanMilliseconds = 3600000;
+    /// Every node sends its evidence to every other one, so in a large fleet it does so less often. The upper bound keeps the
+    /// evaluation within a part of a short rollout.
+    constexpr int64_t nodesPerIntervalMultiple = 20;
+    constexpr int64_t maxIntervalMultiple = 5;
     /// Lower bound of a node's limit of unanswered attempts at the new version.
     constexpr uint64_t minUnansweredLimit = 4;
 
@@ -265,6 +269,11 @@
 
     void handle(rollout_state& state, peer_latch&& message, Common::wall_time, actions& output)
     {
+        // The sender has not seen the end of the rollout. Endpoints of other versions are gone, so there is nothing to go
+        // back to.
+        const auto current = state.current.find(message.key.service);
+        if (current != state.current.end() && current->second == message.key.version && !state.active.contains(message.key))
+            return;
         latch(state, message.key, message.cause, output);
     }
 
@@ -273,11 +282,17 @@
         state.nodes = message.nodes;
     }
 
+    int64_t evidenceInterval(const rollout_state& state)
+    {
+        const auto multiple = static_cast<int64_t>(state.nodes) / nodesPerIntervalMultiple;
+        return state.settings.evidenceIntervalMs * std::clamp<int64_t>(multiple, 1, maxIntervalMultiple);
+    }
+
     void handle(rollout_state& state, rollout_tick&&, Common::wall_time now, actions& output)
     {
         const bool isBroadcastDue = now >= state.nextEvidence;
         if (isBroadcastDue)
-            state.nextEvidence = { now.value + state.settings.evidenceIntervalMs };
+            state.nextEvidence = { now.value + evidenceInterval(state) };
         for (auto& [key, rollout] : state.active) {
             tickRollout(state, key, rollout, now, output);
             if (isBroadcastDue && !rollout.own.empty())
