Plain endpoints stay until the reclaimable ones that replace them are ready

When the cloud accepted orders for reclaimable ones again, the zone no longer counted as exhausted, and its whole room was kept for these: the plan fell from 24 plain ones to 3, and after six seconds the plain ones were released (44.9 to 47.6 s).

Ruled out: demand measured too low (busy engines 9 to 13 all the time).

Change: as long as the ready endpoints don't cover the demand, plain ones that are present stay in the room of reclaimable ones that are not; so they are replaced step by step.

Test: ReadyEndpointsCarryTheDemandWhilePlainOnesAreReplaced plays zones full of plain endpoints, a cloud with limited zones and a boot time: without the change ready endpoints fall below the demand.

--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -29,6 +29,7 @@
         double needed { 0 }; ///< Endpoints.
         double price { 1 };
         uint32_t supplied { 0 }; ///< Ready reclaimable endpoints.
+        uint32_t presentPlain { 0 }; ///< Ready plain endpoints.
         uint32_t reclaimable { 0 }; ///< Reclaimable endpoints wanted.
         uint32_t plain { 0 }; ///< Plain endpoints wanted.
         uint32_t maxPlain { 0 }; ///< Maximum of `plain`.
@@ -61,6 +62,7 @@
             need.needed = busyEnginesOf(input, zone, bounds.zonePrices.size()) / targetUtilization;
             const auto supply = input.supply.find(zone);
             need.supplied = supply == input.supply.end() ? 0 : supply->second.reclaimable;
+            need.presentPlain = supply == input.supply.end() ? 0 : supply->second.plain;
             const auto wanted = static_cast<uint32_t>(std::ceil(reclaimableFactor * need.needed));
             need.reclaimable = std::clamp(wanted, std::max(1U, bounds.min), bounds.max);
             // In an exhausted zone, plain endpoints may use the capacity of reclaimable ones that are not available.
@@ -102,14 +104,27 @@
     }
 
     /// Adds each missing endpoint to the zone with the largest shortfall.
-    void addPlain(std::vector<zone_need>& needs, double missing)
+    /// @return the number that found no room.
+    double addPlain(std::vector<zone_need>& needs, double missing)
     {
-        for (double added = 0; added < missing; ++added) {
+        for (; missing > 0; --missing) {
             zone_need* chosen = findLargestShortfall(needs);
             if (!chosen)
-                return;
+                break;
             ++chosen->plain;
         }
+        return missing;
+    }
+
+    /// Keeps plain endpoints that are present in the room of reclaimable ones that are not: these may have been ordered, but
+    /// until they are ready the plain ones carry the load. Then they are replaced step by step.
+    void keepPlain(std::vector<zone_need>& needs, uint32_t maxPerZone, double missing)
+    {
+        for (zone_need& need : needs) {
+            const uint32_t room = maxPerZone - std::min(maxPerZone, need.supplied);
+            need.maxPlain = std::max(need.maxPlain, std::min(need.presentPlain, room));
+        }
+        addPlain(needs, missing);
     }
 
     uint32_t totalOf(const supply_map& supply)
@@ -175,7 +190,8 @@
     if (!service.scaling)
         return wanted;
     std::vector<zone_need> needs = needsByZone(service, input);
-    addPlain(needs, std::ceil(totalOf(needs) - reclaimableAfterLoss(needs)));
+    const double withoutRoom = addPlain(needs, std::ceil(totalOf(needs) - reclaimableAfterLoss(needs)));
+    keepPlain(needs, service.scaling->max, withoutRoom);
     for (const zone_need& need : needs) {
         wanted[{ service.name, need.zone, false }] = need.plain;
         wanted[{ service.name, need.zone, true }] = std::min(need.reclaimable, service.scaling->max - need.plain);
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -6,6 +6,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 namespace {
 
 using namespace Scaling;
@@ -99,6 +101,93 @@
     CHECK(sum(wanted, false) + sum(wanted, true) <= 18);
 }
 
+namespace {
+
+/// The cloud of one service: a zone holds a limited number of endpoints, and reclaimable ones can be unavailable.
+struct fake_cloud {
+    static constexpr int bootMs = 4000;
+    static constexpr uint32_t maxPerZone = 6;
+
+    struct machine {
+        bool isReclaimable { false };
+        int readyAt { 0 };
+    };
+
+    std::map<Common::zone_name, std::vector<machine>> zones;
+    bool hasReclaimable { true };
+
+    order_outcome handle(const order& item, int now)
+    {
+        std::vector<machine>& machines = zones[item.zone];
+        const auto isSameKind = [&item](const machine& other) { return other.isReclaimable == item.isReclaimable; };
+        auto present = static_cast<uint32_t>(std::count_if(machines.begin(), machines.end(), isSameKind));
+        if (present < item.desired && item.isReclaimable && !hasReclaimable)
+            return order_outcome::NoneAvailable;
+        for (; present < item.desired && machines.size() < maxPerZone; ++present)
+            machines.push_back({ item.isReclaimable, now + bootMs });
+        for (; present > item.desired; --present)
+            machines.erase(std::find_if(machines.begin(), machines.end(), isSameKind));
+        return order_outcome::Done;
+    }
+
+    Fleet::endpoint_map endpoints(int now) const
+    {
+        Fleet::endpoint_map ready;
+        for (const auto& [zone, machines] : zones) {
+            for (size_t index = 0; index < machines.size(); ++index) {
+                Fleet::endpoint item;
+                item.id = { zone.value + std::to_string(index) };
+                item.service = { "s" };
+                item.zone = zone;
+                item.isReclaimable = machines[index].isReclaimable;
+                if (machines[index].readyAt <= now)
+                    ready.emplace(item.id, item);
+            }
+        }
+        return ready;
+    }
+};
+
+} // namespace
+
+TEST(Plan, ReadyEndpointsCarryTheDemandWhilePlainOnesAreReplaced)
+{
+    // All reclaimable endpoints were taken back and none are to be had for a while, so the zones are full of plain ones.
+    // When the cloud accepts orders for reclaimable ones again, these need room and time to start.
+    Catalog::catalog catalog;
+    catalog.services.emplace(Common::service_name { "s" }, makeService());
+    fake_cloud cloud;
+    for (const char* zone : { "a", "b", "c" })
+        cloud.zones[{ zone }].assign(fake_cloud::maxPerZone, { false, 0 });
+    plan_state planState;
+    order_tracker orders;
+    constexpr double busyPerZone = 3;
+    constexpr int reclaimableFromMs = 10000;
+    constexpr int endMs = 90000;
+    demand_tracker demand;
+    for (int now = 0; now < endMs; now += 250) {
+        cloud.hasReclaimable = now >= reclaimableFromMs;
+        for (const char* zone : { "a", "b", "c" })
+            recordDemand(demand, { { zone }, { zone }, { { { "s" }, busyPerZone * 250 } }, milliseconds(250) }, at(now));
+        const Fleet::endpoint_map ready = cloud.endpoints(now);
+        // The first seconds fill the average of the demand.
+        if (now > 10000)
+            CHECK(static_cast<double>(ready.size()) >= 3 * busyPerZone);
+        const wanted_map wanted = planServices(catalog, ready, demand, orders, planState, milliseconds(1550), at(now));
+        if (const auto next = nextOrder(orders, wanted, at(now)))
+            applyOutcome(orders, cloud.handle(*next, now), at(now));
+    }
+    // Most of the endpoints are reclaimable in the end.
+    const supply_map supply = countSupply(cloud.endpoints(endMs), { "s" });
+    uint32_t plain = 0;
+    uint32_t reclaimable = 0;
+    for (const auto& [zone, count] : supply) {
+        plain += count.plain;
+        reclaimable += count.reclaimable;
+    }
+    CHECK(reclaimable > plain);
+}
+
 TEST(Plan, AServiceWithoutScalingBoundsIsNotPlanned)
 {
     Catalog::service plain;
