Tests: the gateway between scripted endpoints becomes a harness of its own

Moved to RunningGateway.{h,cpp}, unchanged but for the constructor's failure, which is now an exception (FAIL is CppUTest's and the harness is a library without it).

--- a/Tests/Faults/SoakCaller.cpp
+++ b/Tests/Faults/SoakCaller.cpp
@@ -1,6 +1,7 @@
 #include "Faults/SoakCaller.h"
 
 #include "Platform/RunningNode.h"
+#include "Platform/ScriptedEndpoint.h"
 
 #include <array>
 #include <thread>
--- a/Tests/Platform/GatewayTest.cpp
+++ b/Tests/Platform/GatewayTest.cpp
@@ -1,142 +1,15 @@
 /// @file
 /// Requests through the gateway, with callers and endpoints that violate the protocol.
 
-#include "Gateway/GatewayDuty.h"
-#include "Platform/ScriptedEndpoint.h"
-#include "platform/CallHeaders.h"
+#include "Platform/RunningGateway.h"
 
 #include <CppUTest/TestHarness.h>
-#include <chrono>
-#include <memory>
 
 namespace {
 
 using namespace PlatformTests;
 using std::chrono::milliseconds;
 
-const std::string answerHead = "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.1\r\n";
-const std::string completeAnswer = answerHead + "Content-Length: 5\r\n\r\nhello";
-const std::string notExecutedAnswer = "HTTP/1.1 503 Service Unavailable\r\nX-Filbertreel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-const std::string failedAnswer = "HTTP/1.1 500 Oops\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.2\r\nContent-Length: 3\r\n\r\nbad";
-const std::string streamHead = answerHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-std::string chunk(const std::string& text)
-{
-    constexpr const char* digits = "0123456789abcdef";
-    std::string size;
-    for (size_t left = text.size(); left > 0; left /= 16)
-        size.insert(size.begin(), digits[left % 16]);
-    return size + "\r\n" + text + "\r\n";
-}
-
-Catalog::route makeRoute(const char* prefix, Catalog::route_kind kind, bool isResumable, uint32_t maxEndpoints)
-{
-    Catalog::route item;
-    item.name = { prefix };
-    item.host = "h.example";
-    item.prefix = prefix;
-    item.shares = { { { "s" }, 1 } };
-    item.kind = kind;
-    item.isResumable = isResumable;
-    item.maxEndpoints = maxEndpoints;
-    item.timeout = milliseconds(1500);
-    return item;
-}
-
-Catalog::catalog_pointer makeCatalog()
-{
-    auto newCatalog = std::make_shared<Catalog::catalog>();
-    newCatalog->version = 1;
-    newCatalog->routes = {
-        makeRoute("/once/", Catalog::route_kind::AtMostOnce, false, 2),
-        makeRoute("/idem/", Catalog::route_kind::Idempotent, false, 2),
-        makeRoute("/stream/", Catalog::route_kind::Stream, false, 1),
-        makeRoute("/resume/", Catalog::route_kind::Stream, true, 2),
-    };
-    Catalog::service service;
-    service.name = { "s" };
-    newCatalog->services.emplace(service.name, service);
-    Catalog::account account;
-    account.id = { "clerks" };
-    account.keys = { "k1" };
-    newCatalog->accounts.push_back(account);
-    Catalog::indexCatalog(*newCatalog);
-    return newCatalog;
-}
-
-/// A gateway on its own port, with one scripted endpoint for each script.
-struct running_gateway {
-    uint16_t port { findFreePort() };
-    std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
-    std::unique_ptr<Gateway::gateway_duty> duty;
-    std::thread thread;
-
-    explicit running_gateway(const std::vector<std::vector<scripted_answer>>& scripts, bool hasCatalog = true, Gateway::gateway_outlets outlets = { [](Gateway::interval_report&&) {}, {}, {} })
-    {
-        Gateway::gateway_settings settings;
-        settings.facts.listen.callers = "127.0.0.1:" + std::to_string(port);
-        settings.facts.zone = { "z" };
-        settings.facts.isFirstStart = true;
-        settings.wire = PlatformAdapter::makeWireFormat();
-        duty = std::make_unique<Gateway::gateway_duty>(settings, std::move(outlets));
-        Gateway::endpoints_update message;
-        for (const auto& script : scripts) {
-            endpoints.push_back(std::make_unique<scripted_endpoint>(script));
-            Fleet::endpoint item;
-            item.id = { "e" + std::to_string(endpoints.size()) };
-            item.service = { "s" };
-            // Only the first endpoint is in the gateway's zone, so requests are sent there first.
-            item.zone = { message.endpoints.empty() ? "z" : "far" };
-            item.address = endpoints.back()->address();
-            message.endpoints[item.id] = item;
-        }
-        if (hasCatalog)
-            static_cast<void>(duty->submit(Gateway::catalog_update { makeCatalog() }));
-        static_cast<void>(duty->submit(std::move(message)));
-        thread = std::thread([this] { duty->run(); });
-        waitUntilListening();
-    }
-
-    ~running_gateway()
-    {
-        duty->stop();
-        thread.join();
-    }
-
-    void waitUntilListening() const
-    {
-        for (int tries = 0; tries < 200; ++tries) {
-            try {
-                raw_caller probe(port);
-                return;
-            } catch (const std::exception&) {
-                std::this_thread::sleep_for(milliseconds(10));
-            }
-        }
-        FAIL("the gateway does not accept connections after 200 tries");
-    }
-
-    /// @return the number of requests that reached any endpoint.
-    size_t arrivals() const
-    {
-        size_t count = 0;
-        for (const auto& endpoint : endpoints)
-            count += endpoint->requests().size();
-        return count;
-    }
-};
-
-std::string makeRequest(const std::string& target, const std::string& extraLines = "", const std::string& body = "body", const std::string& key = "k1")
-{
-    return "POST " + target + " HTTP/1.1\r\nHost: h.example\r\nX-Filbertreel-Attempt-Id: id7\r\nX-Filbertreel-Time-Budget: 1200\r\nAuthorization: Bearer "
-        + key + "\r\n" + extraLines + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-int statusOf(const std::string& answer)
-{
-    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
-}
-
 } // namespace
 
 TEST_GROUP(PlatformGateway) {};
--- a/Tests/Platform/RunningNode.cpp
+++ b/Tests/Platform/RunningNode.cpp
@@ -82,11 +82,4 @@
     }
 }
 
-int statusOf(const std::string& answer)
-{
-    constexpr size_t statusAt = 9;
-    constexpr size_t statusSize = 3;
-    return answer.size() > statusAt + statusSize ? std::stoi(answer.substr(statusAt, statusSize)) : 0;
-}
-
 } // namespace PlatformTests
--- a/Tests/Platform/RunningNode.h
+++ b/Tests/Platform/RunningNode.h
@@ -69,7 +69,4 @@
 /// @return the bytes of the answer; empty without a connection.
 std::string ask(uint16_t port, const std::string& target, const std::string& host = "h.example", const std::string& key = "k1");
 
-/// @return the HTTP status of an answer; zero when it has none.
-int statusOf(const std::string& answer);
-
 } // namespace PlatformTests
--- a/Tests/Platform/ScriptedEndpoint.cpp
+++ b/Tests/Platform/ScriptedEndpoint.cpp
@@ -227,4 +227,11 @@
     return answer.size() >= messageSize(answer);
 }
 
+int statusOf(const std::string& answer)
+{
+    constexpr size_t statusAt = 9;
+    constexpr size_t statusSize = 3;
+    return answer.size() > statusAt + statusSize ? std::stoi(answer.substr(statusAt, statusSize)) : 0;
+}
+
 } // namespace PlatformTests
--- a/Tests/Platform/ScriptedEndpoint.h
+++ b/Tests/Platform/ScriptedEndpoint.h
@@ -87,4 +87,7 @@
 /// @return whether an answer has all bytes of its Content-Length, or its last chunk.
 bool isComplete(const std::string& answer);
 
+/// @return the HTTP status of an answer; zero when it has none.
+int statusOf(const std::string& answer);
+
 } // namespace PlatformTests
