Gateway: logs say how a response was framed and what was left of an unfinished event

They now have the framing of the body, whether the connection was used before, the bytes of an event that was cut off, and the id of the response if it isn't the request's. No decision changes.

--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -23,6 +23,8 @@
     Scheduling::placement placement;
     Common::version_name version;
     int status { 0 };
+    body_framing framing { body_framing::Length };
+    bool isConnectionReused { false };
     response_facts response;
     std::string body; ///< Body of a response that is not streamed.
     bool isForOtherRequest { false }; ///< The response carries the attempt id of another request.
--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -9,9 +9,28 @@
 
 namespace Gateway {
 
+namespace {
+
+    /// Adds what tells which bytes an attempt's response was made of.
+    void addResponseFields(nlohmann::json& fields, const proxied_call& call)
+    {
+        const attempt& current = *call.currentAttempt;
+        if (current.status == 0)
+            return;
+        fields["framing"] = nameOf(current.framing);
+        fields["reused_connection"] = current.isConnectionReused;
+        fields["unfinished_event_bytes"] = call.events.partial.size();
+        if (current.response.attemptId != call.facts.attemptId)
+            fields["response_request"] = current.response.attemptId;
+    }
+
+} // namespace
+
 void logRetry(const proxied_call& call, attempt_end outcome)
 {
-    Common::logEvent(Common::log_level::Info, "attempt_repeated", { { "request", call.facts.attemptId }, { "end", nameOf(outcome) }, { "endpoint", call.currentAttempt->placement.endpoint.value }, { "status", call.currentAttempt->status }, { "sends", call.attemptCount } });
+    nlohmann::json fields { { "request", call.facts.attemptId }, { "end", nameOf(outcome) }, { "endpoint", call.currentAttempt->placement.endpoint.value }, { "status", call.currentAttempt->status }, { "sends", call.attemptCount } };
+    addResponseFields(fields, call);
+    Common::logEvent(Common::log_level::Info, "attempt_repeated", std::move(fields));
 }
 
 void logEnd(const proxied_call& call, std::string_view outcome, int status, Common::instant now)
@@ -36,6 +55,7 @@
         fields["predicted_ms"] = std::llround(call.currentAttempt->placement.predictedMs);
         fields["fresh_tokens"] = std::llround(call.currentAttempt->placement.uncachedTokens);
         fields["sends"] = call.attemptCount;
+        addResponseFields(fields, call);
     }
     if (call.facts.model)
         fields["prompt_tokens"] = call.facts.model->promptTokens;
--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -38,6 +38,19 @@
 
 } // namespace
 
+const char* nameOf(body_framing framing)
+{
+    switch (framing) {
+    case body_framing::Length:
+        return "length";
+    case body_framing::Chunked:
+        return "chunked";
+    case body_framing::ConnectionEnd:
+        return "connection_end";
+    }
+    return "unknown";
+}
+
 endpoint_channel::endpoint_channel(boost::asio::io_context& context, const std::string& address)
     : m_address(address)
     , m_socket(context)
@@ -128,14 +141,26 @@
     const auto& head = m_parser->get();
     if (head.result_int() / statusesPerClass == informationalClass)
         return ++m_informationalHeads > maxInformationalHeads ? finish(exchange_end::Broken) : readHead();
-    std::vector<Http::header> headers;
-    for (const auto& line : head)
-        headers.push_back({ std::string(line.name_string()), std::string(line.value()) });
-    if (!m_events.onHead(static_cast<int>(head.result_int()), headers))
+    if (!m_events.onHead(makeHead()))
         return finish(exchange_end::Broken);
     readBody();
 }
 
+response_head endpoint_channel::makeHead() const
+{
+    const auto& message = m_parser->get();
+    response_head head;
+    head.status = static_cast<int>(message.result_int());
+    for (const auto& line : message)
+        head.headers.push_back({ std::string(line.name_string()), std::string(line.value()) });
+    head.isConnectionReused = m_exchanges > 1;
+    if (m_parser->chunked())
+        head.framing = body_framing::Chunked;
+    else if (m_parser->need_eof())
+        head.framing = body_framing::ConnectionEnd;
+    return head;
+}
+
 void endpoint_channel::readBody()
 {
     if (m_isClosed || !m_isActive)
--- a/Source/Core/Gateway/EndpointChannel.h
+++ b/Source/Core/Gateway/EndpointChannel.h
@@ -31,10 +31,28 @@
     Complete, ///< The complete response has arrived.
 };
 
+/// How the end of a response's body is marked.
+enum class body_framing {
+    Length, ///< By a Content-Length; also responses that have no body.
+    Chunked, ///< By the last chunk.
+    ConnectionEnd, ///< By nothing but the end of the connection.
+};
+
+/// @return the name used in logs.
+const char* nameOf(body_framing framing);
+
+/// The head of an endpoint's response.
+struct response_head {
+    int status { 0 };
+    std::vector<Http::header> headers;
+    body_framing framing { body_framing::Length };
+    bool isConnectionReused { false }; ///< The connection has carried an earlier exchange.
+};
+
 /// Callbacks of a channel during one exchange. They may cancel the channel.
 struct exchange_events {
-    /// The head of the response. @return false to abort the exchange.
-    std::function<bool(int status, const std::vector<Http::header>& headers)> onHead;
+    /// @return false to abort the exchange.
+    std::function<bool(const response_head& head)> onHead;
     /// Bytes of the body. @return false to abort the exchange.
     std::function<bool(std::string_view bytes)> onBytes;
     /// Called once, as the last callback, unless the channel is cancelled.
@@ -73,6 +91,7 @@
     void write();
     void readHead();
     void handleHead(const boost::system::error_code& error);
+    response_head makeHead() const;
     void readBody();
     void finish(exchange_end end);
 
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -186,9 +186,9 @@
         exchange_events events;
         caller_session* session = call.session.get();
         const call_id id = call.id;
-        events.onHead = [this, session, id](int status, const std::vector<Http::header>& headers) {
+        events.onHead = [this, session, id](const response_head& head) {
             proxied_call* activeCall = find(session, id);
-            return activeCall && handleHead(*activeCall, status, headers);
+            return activeCall && handleHead(*activeCall, head);
         };
         events.onBytes = [this, session, id](std::string_view bytes) {
             proxied_call* activeCall = find(session, id);
@@ -202,18 +202,20 @@
         return events;
     }
 
-    bool handleHead(proxied_call& call, int status, const std::vector<Http::header>& headers)
+    bool handleHead(proxied_call& call, const response_head& head)
     {
         attempt& current = *call.currentAttempt;
-        current.status = status;
-        current.response = settings.wire.readResponse(headers);
+        current.status = head.status;
+        current.framing = head.framing;
+        current.isConnectionReused = head.isConnectionReused;
+        current.response = settings.wire.readResponse(head.headers);
         if (current.response.load)
             Scheduling::recordReportedLoad(state.scheduler, current.placement.endpoint, *current.response.load, clockNow());
         current.isForOtherRequest = !call.facts.attemptId.empty() && !current.response.attemptId.empty() && current.response.attemptId != call.facts.attemptId;
         const bool isTrusted = !current.isForOtherRequest && current.response.hasProofOfOrigin && !current.response.hasContentEncoding;
-        if (isSuccess(status) && !isTrusted)
+        if (isSuccess(head.status) && !isTrusted)
             return false;
-        current.hasEvents = isSuccess(status) && call.route->kind == Catalog::route_kind::Stream;
+        current.hasEvents = isSuccess(head.status) && call.route->kind == Catalog::route_kind::Stream;
         return !current.isForOtherRequest;
     }
 
