Each attempt at a stream reads its events from an empty buffer

Cause: the bytes of an event that was still incomplete were kept with the request and cleared only when the retry continued a response whose head had been sent. An endpoint that broke off inside its first event left them there; the next endpoint's first event was appended to them and came out as one. Class of fault: state of one attempt that outlives it, cleared on some paths only.

Change: the buffer and the ids to skip belong to the attempt (event_reader in attempt, made by makeEventReader); only the caller's position in the stream (stream_position) is the request's. There is nothing left to clear, so no path can forget to.

Ruled out for these requests: a late second answer (each response bore the request's id and came on a new connection); a body that ends with its connection (all were chunked).

--- a/Source/Core/Gateway/AttemptOutcome.cpp
+++ b/Source/Core/Gateway/AttemptOutcome.cpp
@@ -33,7 +33,7 @@
     if (end == exchange_end::NotSent)
         return attempt_end::NotSent;
     // A stream that ends within an event is incomplete even if its HTTP framing is complete.
-    const bool endsInsideEvent = current.hasEvents && !call.events.partial.empty();
+    const bool endsInsideEvent = current.hasEvents && !current.events.partial.empty();
     if (end == exchange_end::Broken || endsInsideEvent)
         return attempt_end::Broken;
     if (current.response.hasNotRun || current.status == misdirectedStatus)
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -27,6 +27,7 @@
     bool isConnectionReused { false };
     response_facts response;
     std::string body; ///< Body of a response that is not streamed.
+    event_reader events; ///< Of a response that is streamed.
     bool isForOtherRequest { false }; ///< The response carries the attempt id of another request.
     bool hasEvents { false }; ///< The response is a stream of server-sent events.
     bool isStartRecorded { false }; ///< The start of the response was recorded for scheduling and usage.
@@ -52,7 +53,7 @@
     call_progress progress;
     std::set<Common::endpoint_id> triedEndpoints;
     std::optional<attempt> currentAttempt; ///< The latest attempt; it may have ended.
-    event_reader events;
+    stream_position position;
     double firstByteMs { 0 }; ///< From arrival to the start of the response; zero before.
     uint32_t attemptCount { 0 };
 };
--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -19,7 +19,7 @@
             return;
         fields["framing"] = nameOf(current.framing);
         fields["reused_connection"] = current.isConnectionReused;
-        fields["unfinished_event_bytes"] = call.events.partial.size();
+        fields["unfinished_event_bytes"] = current.events.partial.size();
         if (current.response.attemptId != call.facts.attemptId)
             fields["response_request"] = current.response.attemptId;
     }
--- a/Source/Core/Gateway/EventStream.cpp
+++ b/Source/Core/Gateway/EventStream.cpp
@@ -40,7 +40,12 @@
 
 } // namespace
 
-std::string extractEvents(event_reader& reader, std::string_view bytes)
+event_reader makeEventReader(const stream_position& position)
+{
+    return { {}, position.lastId };
+}
+
+std::string extractEvents(event_reader& reader, stream_position& position, std::string_view bytes)
 {
     reader.partial += bytes;
     std::string completeEvents;
@@ -56,18 +61,12 @@
         if (id && reader.skipUpTo && *id <= *reader.skipUpTo)
             continue;
         if (id)
-            reader.lastId = id;
-        ++reader.eventCount;
+            position.lastId = id;
+        ++position.eventCount;
         completeEvents += event;
     }
     reader.partial.erase(0, start);
     return completeEvents;
 }
 
-void beginResumption(event_reader& reader)
-{
-    reader.partial.clear();
-    reader.skipUpTo = reader.lastId;
-}
-
 } // namespace Gateway
--- a/Source/Core/Gateway/EventStream.h
+++ b/Source/Core/Gateway/EventStream.h
@@ -11,20 +11,27 @@
 
 namespace Gateway {
 
-/// Position in a stream of events.
-struct event_reader {
-    std::string partial; ///< Bytes of an event that is not complete yet.
+/// How much of a stream the caller has, over all attempts.
+struct stream_position {
     std::optional<uint64_t> lastId; ///< Id of the last complete event that was forwarded.
-    std::optional<uint64_t> skipUpTo; ///< After a resumption: the caller already has the events up to this id.
     uint64_t eventCount { 0 }; ///< Forwarded events.
 };
 
-/// @param reader changed in place.
+/// Reads the events of one attempt's response. Every attempt has a reader of its own, as the bytes of an event that one
+/// endpoint has left unfinished must not be joined with those of another.
+struct event_reader {
+    std::string partial; ///< Bytes of an event that is not complete yet.
+    std::optional<uint64_t> skipUpTo; ///< The caller already has the events up to this id.
+};
+
+/// @param position of the caller in the stream.
+/// @return a reader for an attempt that continues there.
+event_reader makeEventReader(const stream_position& position);
+
+/// @param reader of the attempt; changed in place.
+/// @param position advanced by the returned events.
 /// @param bytes that have arrived; they may end anywhere within an event.
 /// @return the bytes of all complete events that the caller does not have yet.
-std::string extractEvents(event_reader& reader, std::string_view bytes);
-
-/// Prepares for the response of another endpoint, which continues after the last complete event.
-void beginResumption(event_reader& reader);
+std::string extractEvents(event_reader& reader, stream_position& position, std::string_view bytes);
 
 } // namespace Gateway
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -164,6 +164,7 @@
     {
         call.currentAttempt.emplace();
         call.currentAttempt->placement = placement;
+        call.currentAttempt->events = makeEventReader(call.position);
         call.currentAttempt->version = state.scheduler.endpoints.at(placement.endpoint).facts.version;
         call.triedEndpoints.insert(placement.endpoint);
         ++call.attemptCount;
@@ -174,8 +175,8 @@
         attemptFacts.account = call.account;
         if (call.facts.model)
             attemptFacts.urgency = std::min(call.urgency, leastUrgentLevel);
-        if (call.events.lastId)
-            attemptFacts.resumeAfter = std::to_string(*call.events.lastId);
+        if (call.position.lastId)
+            attemptFacts.resumeAfter = std::to_string(*call.position.lastId);
         call.currentAttempt->channel = channels.acquire(placement.address, call.route->kind == Catalog::route_kind::Idempotent);
         reportAttemptEvent(call, attempt_report::event::Begun);
         call.currentAttempt->channel->exchange(writeRequest(call, settings.wire.writeAttempt(call.facts, attemptFacts)), connectTimeout, makeEvents(call));
@@ -229,10 +230,10 @@
             current.body += bytes;
             return current.body.size() <= call.catalog->limits.bodyBytes;
         }
-        const std::string events = extractEvents(call.events, bytes);
+        const std::string events = extractEvents(current.events, call.position, bytes);
         if (!events.empty())
             forwardEvents(call, events);
-        return call.events.partial.size() <= maxEventBytes;
+        return current.events.partial.size() <= maxEventBytes;
     }
 
     void forwardEvents(proxied_call& call, std::string_view events)
@@ -309,8 +310,6 @@
         case next_step::Retry:
         case next_step::RetryUnbudgeted:
             logRetry(call, outcome);
-            if (call.progress.hasHeadSent)
-                beginResumption(call.events);
             return place(call);
         case next_step::ForwardResponse:
             return forwardResponse(call);
--- a/Source/Core/Gateway/Tests/CallFlowTest.cpp
+++ b/Source/Core/Gateway/Tests/CallFlowTest.cpp
@@ -52,21 +52,23 @@
     const std::string whole = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
     for (size_t piece = 1; piece <= whole.size(); ++piece) {
         event_reader reader;
+        stream_position position;
         std::string forwarded;
         for (size_t start = 0; start < whole.size(); start += piece)
-            forwarded += extractEvents(reader, std::string_view(whole).substr(start, piece));
+            forwarded += extractEvents(reader, position, std::string_view(whole).substr(start, piece));
         STRCMP_EQUAL(whole.c_str(), forwarded.c_str());
-        CHECK_EQUAL(3, reader.eventCount);
-        CHECK_EQUAL(3, *reader.lastId);
+        CHECK_EQUAL(3, position.eventCount);
+        CHECK_EQUAL(3, *position.lastId);
         CHECK(reader.partial.empty());
     }
 }
 
 TEST(EventStream, AResumedStreamHasNoMissingAndNoDuplicateEvents)
 {
-    event_reader reader;
-    std::string forwarded = extractEvents(reader, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
-    beginResumption(reader);
-    forwarded += extractEvents(reader, "id: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n");
+    stream_position position;
+    event_reader broken = makeEventReader(position);
+    std::string forwarded = extractEvents(broken, position, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+    event_reader resumed = makeEventReader(position);
+    forwarded += extractEvents(resumed, position, "id: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n");
     STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n", forwarded.c_str());
 }
