A response on a reused connection must name its request; connections with surplus bytes aren't reused

Cause: an endpoint that answers twice may send the second copy after the next request was written on the same connection. A response without the request's id was taken as the request's own. Besides, an idle connection was used again although bytes had arrived, if the thread had not yet run the handler that would notice.

Evidence: seen in no log.

Change: on a connection that has carried a response, one that names no request counts as another request's. acquire() looks at the socket itself. An endpoint that has sent surplus bytes, or another request's response, gets a new connection for each request for 60 s. A request without an id gets a new connection.

--- a/Source/Core/Gateway/AttemptOutcome.cpp
+++ b/Source/Core/Gateway/AttemptOutcome.cpp
@@ -27,6 +27,14 @@
     return status / statusesPerClass == successClass;
 }
 
+bool isForOtherRequest(const proxied_call& call)
+{
+    const attempt& current = *call.currentAttempt;
+    if (current.response.attemptId.empty())
+        return current.isConnectionReused;
+    return !call.facts.attemptId.empty() && current.response.attemptId != call.facts.attemptId;
+}
+
 attempt_end classify(const proxied_call& call, exchange_end end)
 {
     const attempt& current = *call.currentAttempt;
--- a/Source/Core/Gateway/AttemptOutcome.h
+++ b/Source/Core/Gateway/AttemptOutcome.h
@@ -15,6 +15,11 @@
 /// @return whether an HTTP status is 2xx.
 bool isSuccess(int status);
 
+/// @param call a request whose current attempt has received the head of a response.
+/// @return whether the response belongs to another request. On a connection that has carried one before, a response that
+/// names no request may be a late copy.
+bool isForOtherRequest(const proxied_call& call);
+
 /// @param call a request with a current attempt.
 /// @param end how the attempt's HTTP exchange ended.
 /// @return the attempt's outcome, which also depends on the status and proof of origin of the response.
--- a/Source/Core/Gateway/ChannelPool.cpp
+++ b/Source/Core/Gateway/ChannelPool.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/ChannelPool.h"
 
+#include "Common/Log.h"
+
 #include <algorithm>
 
 namespace Gateway {
@@ -10,6 +12,8 @@
     constexpr std::chrono::milliseconds assumedKeepAlive { 1500 };
     /// Only this share of the keep-alive time is used, as an endpoint may close somewhat before the time it states.
     constexpr double usedShareOfKeepAlive = 0.6;
+    /// Longer than any request, so that a late copy of a response finds its connection closed.
+    constexpr std::chrono::seconds distrustTime { 60 };
 
 } // namespace
 
@@ -22,6 +26,7 @@
 {
     const auto found = m_idle.find(address);
     const auto now = std::chrono::steady_clock::now();
+    std::erase_if(m_distrustedUntil, [now](const auto& entry) { return entry.second <= now; });
     while (mayReuse && found != m_idle.end() && !found->second.empty()) {
         const idle_channel candidate = std::move(found->second.back());
         found->second.pop_back();
@@ -36,11 +41,23 @@
 {
     std::vector<idle_channel>& idle = m_idle[address];
     std::erase_if(idle, [](const idle_channel& entry) { return !entry.channel->isUsable(); });
-    if (idle.size() >= maxIdlePerEndpoint)
+    if (idle.size() >= maxIdlePerEndpoint || m_distrustedUntil.contains(address))
         return channel->cancel();
     const std::chrono::duration<double, std::milli> usableTime(static_cast<double>(keepAlive.value_or(assumedKeepAlive).count()) * usedShareOfKeepAlive);
     idle.push_back({ channel, std::chrono::steady_clock::now() + std::chrono::duration_cast<std::chrono::milliseconds>(usableTime) });
-    channel->watchIdle();
+    channel->watchIdle([this, address] { distrust(address); });
+}
+
+void channel_pool::distrust(const std::string& address)
+{
+    if (m_distrustedUntil.insert_or_assign(address, std::chrono::steady_clock::now() + distrustTime).second)
+        Common::logEvent(Common::log_level::Warning, "surplus_bytes_received", { { "address", address } });
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return;
+    for (const idle_channel& entry : found->second)
+        entry.channel->cancel();
+    m_idle.erase(found);
 }
 
 } // namespace Gateway
--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -63,9 +63,20 @@
     return m_exchanges;
 }
 
-bool endpoint_channel::isUsable() const
+bool endpoint_channel::isUsable()
 {
-    return m_isConnected && !m_isClosed && !m_isActive;
+    return m_isConnected && !m_isClosed && !m_isActive && hasReceivedNothing();
+}
+
+bool endpoint_channel::hasReceivedNothing()
+{
+    char byte = 0;
+    error_code error;
+    m_socket.non_blocking(true, error);
+    if (!error)
+        m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    // Success means that a byte waits; any other error, that the endpoint has closed.
+    return error == boost::asio::error::would_block;
 }
 
 void endpoint_channel::exchange(std::string bytes, std::chrono::milliseconds connectTimeout, exchange_events events)
@@ -191,13 +202,15 @@
         return;
     m_isActive = false;
     m_timer.cancel();
-    const bool isReusable = end == exchange_end::Complete && m_isWriteDone && m_parser->keep_alive() && m_buffer.size() == 0;
-    if (!isReusable)
+    exchange_result result { end };
+    result.hasSurplusBytes = end == exchange_end::Complete && m_buffer.size() > 0;
+    result.isReusable = end == exchange_end::Complete && !result.hasSurplusBytes && m_isWriteDone && m_parser->keep_alive();
+    if (!result.isReusable)
         cancel();
     const exchange_events events = std::move(m_events);
     m_events = {};
     m_request.clear();
-    events.onEnd(end, isReusable);
+    events.onEnd(result);
 }
 
 void endpoint_channel::cancel()
@@ -212,13 +225,17 @@
     m_socket.close(ignored);
 }
 
-void endpoint_channel::watchIdle()
+void endpoint_channel::watchIdle(std::function<void()> onSurplusBytes)
 {
-    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchanges](const error_code& error) {
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchanges, onSurplusBytes = std::move(onSurplusBytes)](const error_code& error) {
         if (error || self->m_isClosed || exchange != self->m_exchanges)
             return;
         // Either the endpoint closed, or it sent bytes that belong to no request.
+        error_code ignored;
+        const bool hasBytes = self->m_socket.available(ignored) > 0;
         self->cancel();
+        if (hasBytes)
+            onSurplusBytes();
     });
 }
 
--- a/Source/Core/Gateway/EndpointChannel.h
+++ b/Source/Core/Gateway/EndpointChannel.h
@@ -31,6 +31,12 @@
     Complete, ///< The complete response has arrived.
 };
 
+struct exchange_result {
+    exchange_end end { exchange_end::Broken };
+    bool isReusable { false }; ///< The connection may carry another exchange.
+    bool hasSurplusBytes { false }; ///< The endpoint sent more than the response.
+};
+
 /// How the end of a response's body is marked.
 enum class body_framing {
     Length, ///< By a Content-Length; also responses that have no body.
@@ -56,7 +62,7 @@
     /// Bytes of the body. @return false to abort the exchange.
     std::function<bool(std::string_view bytes)> onBytes;
     /// Called once, as the last callback, unless the channel is cancelled.
-    std::function<void(exchange_end end, bool isReusable)> onEnd;
+    std::function<void(const exchange_result& result)> onEnd;
 };
 
 class endpoint_channel : public std::enable_shared_from_this<endpoint_channel> {
@@ -75,9 +81,10 @@
     /// Closes the connection at once; no callback follows.
     void cancel();
     /// Watches an idle connection: a close by the endpoint or an unexpected byte makes it unusable.
-    void watchIdle();
-    /// @return whether the connection is open, idle and may carry another request.
-    bool isUsable() const;
+    /// @param onSurplusBytes called when bytes arrive that belong to no request.
+    void watchIdle(std::function<void()> onSurplusBytes);
+    /// @return whether the connection is open, idle, and has received nothing since its last response.
+    bool isUsable();
     /// @return number of exchanges started on this connection.
     uint64_t exchanges() const;
 
@@ -92,6 +99,7 @@
     void readHead();
     void handleHead(const boost::system::error_code& error);
     response_head makeHead() const;
+    bool hasReceivedNothing();
     void readBody();
     void finish(exchange_end end);
 
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -177,7 +177,9 @@
             attemptFacts.urgency = std::min(call.urgency, leastUrgentLevel);
         if (call.position.lastId)
             attemptFacts.resumeAfter = std::to_string(*call.position.lastId);
-        call.currentAttempt->channel = channels.acquire(placement.address, call.route->kind == Catalog::route_kind::Idempotent);
+        // Only a request with an id of its own can be told apart from an earlier one on the same connection.
+        const bool mayReuse = call.route->kind == Catalog::route_kind::Idempotent && !call.facts.attemptId.empty();
+        call.currentAttempt->channel = channels.acquire(placement.address, mayReuse);
         reportAttemptEvent(call, attempt_report::event::Begun);
         call.currentAttempt->channel->exchange(writeRequest(call, settings.wire.writeAttempt(call.facts, attemptFacts)), connectTimeout, makeEvents(call));
     }
@@ -195,10 +197,10 @@
             proxied_call* activeCall = find(session, id);
             return activeCall && handleBytes(*activeCall, bytes);
         };
-        events.onEnd = [this, session, id](exchange_end end, bool isReusable) {
+        events.onEnd = [this, session, id](const exchange_result& result) {
             proxied_call* activeCall = find(session, id);
             if (activeCall)
-                handleEnd(*activeCall, end, isReusable);
+                handleEnd(*activeCall, result);
         };
         return events;
     }
@@ -212,7 +214,7 @@
         current.response = settings.wire.readResponse(head.headers);
         if (current.response.load)
             Scheduling::recordReportedLoad(state.scheduler, current.placement.endpoint, *current.response.load, clockNow());
-        current.isForOtherRequest = !call.facts.attemptId.empty() && !current.response.attemptId.empty() && current.response.attemptId != call.facts.attemptId;
+        current.isForOtherRequest = isForOtherRequest(call);
         const bool isTrusted = !current.isForOtherRequest && current.response.hasProofOfOrigin && !current.response.hasContentEncoding;
         if (isSuccess(head.status) && !isTrusted)
             return false;
@@ -263,12 +265,14 @@
             state.interval.begun.push_back({ call.account, now });
     }
 
-    void handleEnd(proxied_call& call, exchange_end end, bool isReusable)
+    void handleEnd(proxied_call& call, const exchange_result& result)
     {
         attempt& current = *call.currentAttempt;
-        if (isReusable)
+        if (result.hasSurplusBytes || current.isForOtherRequest)
+            channels.distrust(current.placement.address);
+        if (result.isReusable)
             channels.release(current.placement.address, current.channel, current.response.keepAlive);
-        const attempt_end outcome = classify(call, end);
+        const attempt_end outcome = classify(call, result.end);
         if (outcome != attempt_end::NotSent && outcome != attempt_end::NotRun && !current.isStartRecorded)
             recordStart(call);
         recordAttemptEnd(call, outcome);
--- a/Tests/Platform/AttemptSeparationTest.cpp
+++ b/Tests/Platform/AttemptSeparationTest.cpp
@@ -43,3 +43,33 @@
         CHECK_TEXT(answer.ends_with("\r\n\r\n" + item.second), item.condition);
     }
 }
+
+TEST(AttemptSeparation, ALateSecondCopyOnAReusedConnectionIsNeverTakenAsTheNextResponse)
+{
+    const std::string seal = "X-Filbertreel-Server-Seal: s\r\n";
+    const std::string otherId = "X-Filbertreel-Attempt-Id: id6\r\n";
+    const std::string stray = "Content-Length: 5\r\n\r\nstray";
+    struct row {
+        const char* condition;
+        std::string second; ///< What the endpoint sends on the second request's arrival, before its response.
+    };
+    const row rows[] = {
+        { "nothing", "" },
+        { "a success of another request", "HTTP/1.1 200 OK\r\n" + otherId + seal + stray },
+        { "a success that names no request", "HTTP/1.1 200 OK\r\n" + seal + stray },
+        { "a failure of another request", "HTTP/1.1 500 Oops\r\n" + otherId + seal + stray },
+        { "a failure that names no request", "HTTP/1.1 500 Oops\r\n" + seal + stray },
+        { "a refusal that names no request", "HTTP/1.1 503 Service Unavailable\r\nX-Filbertreel-Not-Executed: 1\r\n" + stray },
+        { "the rest of a body", "stray\r\n" },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { { completeAnswer, answer_end::Keep }, { item.second + completeAnswer, answer_end::Keep }, { completeAnswer, answer_end::Keep } }, { { completeAnswer } } });
+        for (int request = 0; request < 3; ++request) {
+            raw_caller caller(gateway.port);
+            caller.send(makeRequest("/idem/x"));
+            const std::string answer = caller.receive();
+            CHECK_EQUAL_TEXT(200, statusOf(answer), item.condition);
+            CHECK_TEXT(answer.ends_with("\r\n\r\nhello"), item.condition);
+        }
+    }
+}
