A response as long as the limit of a body is forwarded whole; a slow caller's stream ends once

What callers could see: a response of 4 MiB, or of less where the operator's limit for bodies is above that, was cut off although its caller read at full speed.

Cause: the limit on what waits for a slow caller was checked for every send, so a whole response broke it by its own length; and the abort inside send() ended the request while respond() or streamBytes() of the same request was still running, which then ended it again.

Evidence: PlatformGateway AResponseAsLongAsTheLimitOfABodyIsForwardedWhole is red without the change (status 0). The new test of a caller that stops reading passes with and without the change.

Change: only streams are limited, after their bytes were queued, and the abort runs as a handler of its own. A whole response is bounded by the limit of bodies already.

--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -3,6 +3,7 @@
 #include <array>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -24,8 +25,8 @@
     constexpr int firstStatusWithBody = 200;
     constexpr int noContentStatus = 204;
     constexpr int notModifiedStatus = 304;
-    /// The connection is aborted when this much is waiting for a caller that reads too slowly.
-    constexpr size_t outboxLimitBytes = size_t { 4 } * 1024 * 1024;
+    /// A stream is aborted when this much of it is waiting for a caller that reads too slowly.
+    constexpr size_t streamOutboxLimitBytes = size_t { 4 } * 1024 * 1024;
     /// Long enough for a body of the maximum size over the slowest link of the deployments.
     constexpr std::chrono::milliseconds bodyTimeout { 20000 };
     /// How long a close waits for the caller's close. Closing with unread bytes would reset the connection, and the
@@ -252,6 +253,9 @@
     chunk += bytes;
     chunk += "\r\n";
     send(std::move(chunk));
+    // Aborted by a later handler, because the owner's callback ends the request that the bytes belong to.
+    if (m_outboxBytes > streamOutboxLimitBytes)
+        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->abort(); });
 }
 
 void caller_session::endStream()
@@ -273,8 +277,6 @@
 {
     m_outboxBytes += bytes.size();
     m_outbox.push_back(std::move(bytes));
-    if (m_outboxBytes > outboxLimitBytes)
-        return abort();
     if (!m_isWriting)
         writeNext();
 }
--- a/Tests/Platform/GatewayTest.cpp
+++ b/Tests/Platform/GatewayTest.cpp
@@ -1,15 +1,30 @@
 /// @file
 /// Requests through the gateway, with callers and endpoints that violate the protocol.
 
+#include "Common/Metrics.h"
 #include "Platform/RunningGateway.h"
 
 #include <CppUTest/TestHarness.h>
+#include <sstream>
 
 namespace {
 
 using namespace PlatformTests;
 using std::chrono::milliseconds;
 
+/// @return the requests of a route that this process has ended, over all outcomes.
+uint64_t countEndedRequests(const std::string& route)
+{
+    const std::string start = "filbertreel_requests_total{route=\"" + route + "\"";
+    std::istringstream lines(Common::printMetrics());
+    uint64_t count = 0;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(start))
+            count += std::stoull(line.substr(line.rfind(' ') + 1));
+    }
+    return count;
+}
+
 } // namespace
 
 TEST_GROUP(PlatformGateway) {};
@@ -269,3 +284,28 @@
         CHECK_TEXT(gateway.endpoints[0]->bytesSent() < 64U * 1024 * 1024, item.condition);
     }
 }
+
+TEST(PlatformGateway, AResponseAsLongAsTheLimitOfABodyIsForwardedWhole)
+{
+    const std::string body(Catalog::input_limits {}.bodyBytes, 'b');
+    running_gateway gateway({ { { answerHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body } } });
+    raw_caller caller(gateway.port);
+    caller.send(makeRequest("/once/x"));
+    const std::string answer = caller.receive();
+    CHECK_EQUAL(200, statusOf(answer));
+    CHECK(answer.ends_with("\r\n\r\n" + body));
+}
+
+TEST(PlatformGateway, ACallerThatStopsReadingAStreamEndsItsRequestOnce)
+{
+    const std::string event = chunk("data: " + std::string(16384, 'x') + "\n\n");
+    running_gateway gateway({ { { streamHead, answer_end::Endless, event } } });
+    const uint64_t endedBefore = countEndedRequests("/stream/");
+    raw_caller caller(gateway.port);
+    caller.send(makeRequest("/stream/x"));
+    for (int tries = 0; tries < 150 && gateway.endpoints[0]->abandoned() == 0; ++tries)
+        std::this_thread::sleep_for(milliseconds(10));
+    CHECK_EQUAL(1, gateway.endpoints[0]->abandoned());
+    CHECK_EQUAL(0, gateway.duty->inFlight());
+    CHECK_EQUAL(endedBefore + 1, countEndedRequests("/stream/"));
+}
