A response that runs into a second one is not forwarded as whole

What callers could see: a body or an event with the head and bytes of a second response in it, when an endpoint breaks a response off and sends it again on the same connection before it closes (endpoints that answer twice; not seen in a log).

Cause: only the framing of the first response was checked. A body that breaks off is filled up by the second response until its length is reached, a chunk until its size is, and a response that ends with its connection takes in all that follows.

Evidence: PlatformAttemptSeparation AResponseThatRunsIntoASecondOneIsNotForwardedAsWhole is red without the change at its first row (200 with the wrong body instead of 502).

Change: a complete response head with an endpoint's proof of origin inside a body marks the attempt as broken; events before it are forwarded. Weighed: any status line in a body (a model's text about HTTP would be rejected). Not covered: a second response whose head is cut off by the end of the first one's length.

--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -33,6 +33,13 @@
     Common::logEvent(Common::log_level::Info, "attempt_repeated", std::move(fields));
 }
 
+void logSecondResponse(const proxied_call& call)
+{
+    nlohmann::json fields { { "request", call.facts.attemptId }, { "endpoint", call.currentAttempt->placement.endpoint.value } };
+    addResponseFields(fields, call);
+    Common::logEvent(Common::log_level::Warning, "second_response_in_body", std::move(fields));
+}
+
 void logEnd(const proxied_call& call, std::string_view outcome, int status, Common::instant now)
 {
     nlohmann::json fields { { "request", call.facts.attemptId }, { "outcome", outcome }, { "status", status }, { "ms", std::llround(toMs(now - call.arrived)) } };
--- a/Source/Core/Gateway/CallLog.h
+++ b/Source/Core/Gateway/CallLog.h
@@ -12,6 +12,9 @@
 /// Logs that a request is retried at another endpoint after an attempt has ended.
 void logRetry(const proxied_call& call, attempt_end outcome);
 
+/// Logs that an endpoint's response holds the head of a second one.
+void logSecondResponse(const proxied_call& call);
+
 /// Logs the end of a request with the inputs of the decisions about it.
 /// @param status HTTP status sent to the caller, or zero if no complete response was sent.
 void logEnd(const proxied_call& call, std::string_view outcome, int status, Common::instant now);
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -10,6 +10,7 @@
 #include "Gateway/CallLog.h"
 #include "Gateway/ChannelPool.h"
 #include "Gateway/Placement.h"
+#include "Gateway/ResponseBoundary.h"
 
 #include <atomic>
 #include <unordered_map>
@@ -222,7 +223,7 @@
         return !current.isForOtherRequest;
     }
 
-    /// @return false if the endpoint has sent more than an answer can hold.
+    /// @return false if the endpoint has sent more than an answer can hold, or a second answer inside the first.
     bool handleBytes(proxied_call& call, std::string_view bytes)
     {
         attempt& current = *call.currentAttempt;
@@ -232,10 +233,16 @@
             current.body += bytes;
             return current.body.size() <= call.catalog->limits.bodyBytes;
         }
+        const size_t partialSize = current.events.partial.size();
+        const std::optional<size_t> secondHead = findResponseHead(current.events.partial + std::string(bytes), settings.wire);
+        if (secondHead) {
+            logSecondResponse(call);
+            bytes = bytes.substr(0, *secondHead - std::min(*secondHead, partialSize));
+        }
         const std::string events = extractEvents(current.events, call.position, bytes);
         if (!events.empty())
             forwardEvents(call, events);
-        return current.events.partial.size() <= maxEventBytes;
+        return !secondHead && current.events.partial.size() <= maxEventBytes;
     }
 
     void forwardEvents(proxied_call& call, std::string_view events)
@@ -272,7 +279,11 @@
             channels.distrust(current.placement.address);
         if (result.isReusable)
             channels.release(current.placement.address, current.channel, current.response.keepAlive);
-        const attempt_end outcome = classify(call, result.end);
+        attempt_end outcome = classify(call, result.end);
+        if (!current.hasEvents && findResponseHead(current.body, settings.wire)) {
+            logSecondResponse(call);
+            outcome = attempt_end::Broken;
+        }
         if (outcome != attempt_end::NotSent && outcome != attempt_end::NotRun && !current.isStartRecorded)
             recordStart(call);
         recordAttemptEnd(call, outcome);
--- a/Tests/Platform/AttemptSeparationTest.cpp
+++ b/Tests/Platform/AttemptSeparationTest.cpp
@@ -73,3 +73,46 @@
         }
     }
 }
+
+TEST(AttemptSeparation, AResponseThatRunsIntoASecondOneIsNotForwardedAsWhole)
+{
+    const std::string secondCopy = "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: id7\r\nX-Filbertreel-Server-Seal: s.1\r\nContent-Length: 5\r\n\r\nhello";
+    const std::string secondStream = streamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
+    const std::string untilClose = answerHead + "\r\n";
+    const std::string rest = chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+    // The length of the first response's body reaches to the end of the second copy.
+    const std::string torn = answerHead + "Content-Length: " + std::to_string(3 + secondCopy.size()) + "\r\n\r\nhel";
+    // A chunk that breaks off is filled by the second copy.
+    const std::string tornChunk = chunk("id: 1\ndata: a\n\n") + "ff\r\nid: 2\nda";
+    struct row {
+        const char* condition;
+        const char* target;
+        scripted_answer first;
+        std::string second; ///< Of the next endpoint.
+        int status;
+        bool isComplete;
+    };
+    const row rows[] = {
+        { "body with a length, at most once", "/once/x", { torn + secondCopy }, completeAnswer, 502, true },
+        { "body with a length, idempotent", "/idem/x", { torn + secondCopy }, completeAnswer, 200, true },
+        { "body without a length, at most once", "/once/x", { untilClose + "hel" + secondCopy, answer_end::Close }, completeAnswer, 502, true },
+        { "body without a length, idempotent", "/idem/x", { untilClose + "hello" + secondCopy, answer_end::Close }, completeAnswer, 200, true },
+        { "chunk, stream", "/stream/x", { streamHead + tornChunk + secondStream, answer_end::Close }, completeAnswer, 200, false },
+        { "chunk, resumable stream", "/resume/x", { streamHead + tornChunk + secondStream, answer_end::Close }, streamHead + rest, 200, true },
+        { "stream without a length", "/stream/x", { untilClose + "id: 1\ndata: a\n\n" + secondStream, answer_end::Close }, completeAnswer, 200, false },
+        { "resumable stream without a length", "/resume/x", { untilClose + "id: 1\ndata: a\n\n" + secondStream, answer_end::Close }, streamHead + rest, 200, true },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { item.first }, { { item.second } } });
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest(item.target));
+        const std::string answer = caller.receive();
+        CHECK_EQUAL_TEXT(item.status, statusOf(answer), item.condition);
+        CHECK_EQUAL_TEXT(item.isComplete, isComplete(answer), item.condition);
+        CHECK_TEXT(answer.find("HTTP/1.1", 1) == std::string::npos, item.condition);
+        if (std::string(item.target) == "/idem/x")
+            CHECK_TEXT(answer.ends_with("\r\n\r\nhello"), item.condition);
+        if (std::string(item.target) == "/resume/x")
+            CHECK_TEXT(answer.ends_with("\r\n\r\n" + chunk("id: 1\ndata: a\n\n") + rest), item.condition);
+    }
+}
