Surplus bytes that are found before a connection's reuse end the reuse of all connections to their endpoint

When acquire() found the bytes itself, it closed that connection and took the next idle one of the same endpoint; the handler that would have told the pool did nothing, as the connection was closed.

--- a/Source/Core/Gateway/ChannelPool.cpp
+++ b/Source/Core/Gateway/ChannelPool.cpp
@@ -32,7 +32,12 @@
         found->second.pop_back();
         if (candidate.channel->isUsable() && now < candidate.usableUntil)
             return candidate.channel;
+        const bool hasSurplusBytes = candidate.channel->hasSurplusBytes();
         candidate.channel->cancel();
+        if (hasSurplusBytes) {
+            distrust(address);
+            break;
+        }
     }
     return std::make_shared<endpoint_channel>(m_context, address);
 }
--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -65,18 +65,24 @@
 
 bool endpoint_channel::isUsable()
 {
-    return m_isConnected && !m_isClosed && !m_isActive && hasReceivedNothing();
+    return m_isConnected && !m_isClosed && !m_isActive && peekInput() == pending_input::None;
 }
 
-bool endpoint_channel::hasReceivedNothing()
+bool endpoint_channel::hasSurplusBytes()
+{
+    return !m_isClosed && !m_isActive && peekInput() == pending_input::Bytes;
+}
+
+endpoint_channel::pending_input endpoint_channel::peekInput()
 {
     char byte = 0;
     error_code error;
     m_socket.non_blocking(true, error);
     if (!error)
         m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    // Success means that a byte waits; any other error, that the endpoint has closed.
-    return error == boost::asio::error::would_block;
+    if (error == boost::asio::error::would_block)
+        return pending_input::None;
+    return error ? pending_input::End : pending_input::Bytes;
 }
 
 void endpoint_channel::exchange(std::string bytes, std::chrono::milliseconds connectTimeout, exchange_events events)
@@ -231,8 +237,7 @@
         if (error || self->m_isClosed || exchange != self->m_exchanges)
             return;
         // Either the endpoint closed, or it sent bytes that belong to no request.
-        error_code ignored;
-        const bool hasBytes = self->m_socket.available(ignored) > 0;
+        const bool hasBytes = self->hasSurplusBytes();
         self->cancel();
         if (hasBytes)
             onSurplusBytes();
--- a/Source/Core/Gateway/EndpointChannel.h
+++ b/Source/Core/Gateway/EndpointChannel.h
@@ -85,6 +85,8 @@
     void watchIdle(std::function<void()> onSurplusBytes);
     /// @return whether the connection is open, idle, and has received nothing since its last response.
     bool isUsable();
+    /// @return whether the idle connection has received bytes that belong to no request.
+    bool hasSurplusBytes();
     /// @return number of exchanges started on this connection.
     uint64_t exchanges() const;
 
@@ -99,7 +101,13 @@
     void readHead();
     void handleHead(const boost::system::error_code& error);
     response_head makeHead() const;
-    bool hasReceivedNothing();
+    /// What waits to be read on an idle connection.
+    enum class pending_input {
+        None,
+        Bytes,
+        End, ///< The endpoint has closed or reset the connection.
+    };
+    pending_input peekInput();
     void readBody();
     void finish(exchange_end end);
 
