A stream that can't be continued is not retried after its head was sent, whatever the endpoint says

An endpoint that sends events and says that it didn't run the request contradicts itself; the request was sent to another endpoint although its route can't be continued, and that one's stream was appended. CallFlow TheNextStepFollows... has the rows 'stream not run / not sent after its head was sent'; the first was red.

--- a/Source/Core/Gateway/CallFlow.cpp
+++ b/Source/Core/Gateway/CallFlow.cpp
@@ -13,7 +13,8 @@
 
     next_step afterRefusal(const call_progress& progress, next_step retry)
     {
-        if (progress.hasTimeLeft && progress.refusals < maxRefusals)
+        const bool mayContinue = !progress.hasHeadSent || progress.isResumable;
+        if (mayContinue && progress.hasTimeLeft && progress.refusals < maxRefusals)
             return retry;
         if (progress.hasHeadSent)
             return next_step::AbortResponse;
--- a/Source/Core/Gateway/Tests/CallFlowTest.cpp
+++ b/Source/Core/Gateway/Tests/CallFlowTest.cpp
@@ -39,6 +39,8 @@
         { "resumable stream broken after its head was sent", { true, true, true, 1, 2, 0, true }, attempt_end::Broken, next_step::Retry },
         { "resumed stream fails at the second endpoint", { true, true, true, 2, 2, 0, true }, attempt_end::Failed, next_step::AbortResponse },
         { "resumed stream not run by further endpoints", { true, true, true, 1, 2, 3, true }, attempt_end::NotRun, next_step::AbortResponse },
+        { "stream not run after its head was sent", { false, false, true, 0, 1, 1, true }, attempt_end::NotRun, next_step::AbortResponse },
+        { "stream not sent after its head was sent", { false, false, true, 0, 1, 1, true }, attempt_end::NotSent, next_step::AbortResponse },
         { "stream timed out after its head was sent", { true, true, true, 1, 2, 0, true }, attempt_end::TimedOut, next_step::AbortResponse },
     };
     for (const row& item : rows)
