A stream continues at another endpoint only where its caller's position is known

What callers could see: events twice, or a second answer's events after the first one's, on resumable routes.

Cause: the position is the last id, but events without an id were forwarded and not counted, so the next endpoint began anew behind them; a caller's own Last-Event-Id did not count as position, so an endpoint that began anew repeated what the caller had; and events in a response that says it did not run were forwarded before that was looked at.

In no log: engines number their events.

Change: data without an id makes a stream not resumable; the caller's Last-Event-Id is the position it starts with on resumable routes; a response that says it did not run is never streamed. Ruled out: holding back events without ids (no caller is better off).

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -59,6 +59,8 @@
         call.deadline = call.arrived + budget;
         call.progress.mayRetry = Catalog::mayRetry(*call.route);
         call.progress.isResumable = call.route->isResumable;
+        if (call.route->isResumable)
+            call.position.lastId = call.facts.lastEventId;
         call.progress.maxEndpoints = call.route->maxEndpoints;
     }
 
--- a/Source/Core/Gateway/EventStream.cpp
+++ b/Source/Core/Gateway/EventStream.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr std::string_view idField = "id:";
+    constexpr std::string_view dataField = "data:";
+    constexpr std::string_view lineStartOfData = "\ndata:";
 
     /// @return the event's id, if it has a numeric one.
     std::optional<uint64_t> findId(std::string_view event)
@@ -28,6 +30,12 @@
         return {};
     }
 
+    /// @return whether the event has a data line; comments have none.
+    bool hasData(std::string_view event)
+    {
+        return event.starts_with(dataField) || event.find(lineStartOfData) != std::string_view::npos;
+    }
+
     /// @return the size in bytes of the first complete event including its blank line, or zero if there is none.
     size_t findEnd(std::string_view bytes)
     {
@@ -62,6 +70,8 @@
             continue;
         if (id)
             position.lastId = id;
+        else if (hasData(event))
+            position.hasUnnumberedEvents = true;
         ++position.eventCount;
         completeEvents += event;
     }
--- a/Source/Core/Gateway/EventStream.h
+++ b/Source/Core/Gateway/EventStream.h
@@ -15,6 +15,7 @@
 struct stream_position {
     std::optional<uint64_t> lastId; ///< Id of the last complete event that was forwarded.
     uint64_t eventCount { 0 }; ///< Forwarded events.
+    bool hasUnnumberedEvents { false }; ///< Data was forwarded without an id, so the position can't be told to an endpoint.
 };
 
 /// Reads the events of one attempt's response. Every attempt has a reader of its own, as the bytes of an event that one
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -219,7 +219,7 @@
         const bool isTrusted = !current.isForOtherRequest && current.response.hasProofOfOrigin && !current.response.hasContentEncoding;
         if (isSuccess(head.status) && !isTrusted)
             return false;
-        current.hasEvents = isSuccess(head.status) && call.route->kind == Catalog::route_kind::Stream;
+        current.hasEvents = isSuccess(head.status) && !current.response.hasNotRun && call.route->kind == Catalog::route_kind::Stream;
         return !current.isForOtherRequest;
     }
 
@@ -253,6 +253,7 @@
             call.firstByteMs = toMs(clockNow() - call.arrived);
             call.session->beginStream(current.status, current.response.forwardedHeaders, isLeaving());
         }
+        call.progress.isResumable = call.route->isResumable && !call.position.hasUnnumberedEvents;
         call.session->streamBytes(events);
     }
 
--- a/Source/Core/Gateway/WireFormat.h
+++ b/Source/Core/Gateway/WireFormat.h
@@ -22,6 +22,7 @@
     std::string key; ///< API key of a client account. Secret: must not be logged.
     std::optional<milliseconds> timeBudget; ///< How long the caller waits, from the arrival of the request.
     std::optional<Scheduling::model_request> model;
+    std::optional<uint64_t> lastEventId; ///< The caller continues a stream after this event.
     std::vector<Http::header> forwardedHeaders; ///< Header lines forwarded to the endpoint unchanged.
 };
 
--- a/Tests/Platform/AttemptSeparationTest.cpp
+++ b/Tests/Platform/AttemptSeparationTest.cpp
@@ -44,6 +44,36 @@
     }
 }
 
+TEST(AttemptSeparation, AStreamContinuesAtAnotherEndpointOnlyWhereItsCallersPositionIsKnown)
+{
+    const std::string lastChunk = "0\r\n\r\n";
+    const std::string three = chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") + lastChunk;
+    const std::string notExecuted = "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.1\r\nX-Filbertreel-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct row {
+        const char* condition;
+        const char* target;
+        const char* requestLines;
+        scripted_answer first;
+        std::string second;
+        std::string body; ///< What the caller gets; empty: the answer breaks off.
+    };
+    const row rows[] = {
+        { "events with ids", "/resume/x", "", { streamHead + chunk("id: 1\ndata: a\n\n"), answer_end::Close }, streamHead + three, three },
+        { "events without ids", "/resume/x", "", { streamHead + chunk("data: a\n\n"), answer_end::Close }, streamHead + chunk("data: a\n\n") + lastChunk, "" },
+        { "an event without an id after one with an id", "/resume/x", "", { streamHead + chunk("id: 1\ndata: a\n\n") + chunk("data: b\n\n"), answer_end::Close }, streamHead + three, "" },
+        { "continued by the caller, the next endpoint begins anew", "/resume/x", "Last-Event-Id: 1\r\n", { streamHead + chunk("id: 2\nda"), answer_end::Close }, streamHead + three, chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") + lastChunk },
+        { "events in a response that says it did not run", "/stream/x", "", { notExecuted + chunk("id: 1\ndata: first\n\n") + lastChunk }, streamHead + three, three },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { item.first }, { { item.second } } });
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest(item.target, item.requestLines));
+        const std::string answer = caller.receive();
+        CHECK_EQUAL_TEXT(!item.body.empty(), isComplete(answer), item.condition);
+        CHECK_TEXT(item.body.empty() || answer.ends_with("\r\n\r\n" + item.body), item.condition);
+    }
+}
+
 TEST(AttemptSeparation, ALateSecondCopyOnAReusedConnectionIsNeverTakenAsTheNextResponse)
 {
     const std::string seal = "X-Filbertreel-Server-Seal: s\r\n";
