Dispatch: a second response on an engine's connection adds no tokens

A caller got the tokens of a whole answer twice, or of a broken off one and its copy, with finish reason 'stop'.

Evidence: EngineCodec ASecondResponseOnTheConnectionAddsNoTokens was red before at its first row ('a b a b').

Change: nothing is read after [DONE] or a finish reason; the head of a response inside a stream makes it malformed, so it is not finished.

--- a/Source/Core/Dispatch/EngineCodec.cpp
+++ b/Source/Core/Dispatch/EngineCodec.cpp
@@ -12,6 +12,8 @@
 
     constexpr std::string_view dataPrefix = "data:";
     constexpr std::string_view doneMarker = "[DONE]";
+    /// Begins the head of a second response on the same connection.
+    constexpr std::string_view httpVersionPrefix = "HTTP/";
 
     std::string_view trim(std::string_view text)
     {
@@ -128,18 +130,27 @@
 
     void readLine(engine_stream& stream, std::string_view line, std::vector<std::string>& texts)
     {
+        if (stream.hasEnded)
+            return;
+        if (line.starts_with(httpVersionPrefix)) {
+            stream.isMalformed = true;
+            return;
+        }
         if (line.substr(0, dataPrefix.size()) != dataPrefix)
             return;
         const std::string_view data = trim(line.substr(dataPrefix.size()));
-        if (data == doneMarker || stream.isMalformed)
+        stream.hasEnded = data == doneMarker;
+        if (stream.hasEnded || stream.isMalformed)
             return;
         event_handler handler;
         if (!json::sax_parse(data, &handler) || !handler.hasChoices) {
             stream.isMalformed = true;
             return;
         }
-        if (!handler.finishReason.empty())
+        if (!handler.finishReason.empty()) {
             stream.finishReason = std::move(handler.finishReason);
+            stream.hasEnded = true;
+        }
         if (!handler.content.empty())
             texts.push_back(std::move(handler.content));
     }
--- a/Source/Core/Dispatch/EngineCodec.h
+++ b/Source/Core/Dispatch/EngineCodec.h
@@ -14,6 +14,7 @@
 struct engine_stream {
     std::string pending; ///< Bytes of an incomplete line.
     std::string finishReason; ///< Empty until the engine reports that it has finished.
+    bool hasEnded { false }; ///< The engine has finished; what follows is not part of the stream.
     bool isMalformed { false }; ///< The stream doesn't follow the format; its answer must not count as finished.
 };
 
--- a/Source/Core/Dispatch/Tests/EngineCodecTest.cpp
+++ b/Source/Core/Dispatch/Tests/EngineCodecTest.cpp
@@ -33,6 +33,34 @@
     }
 }
 
+TEST(EngineCodec, ASecondResponseOnTheConnectionAddsNoTokens)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    const std::string whole(wholeStream);
+    const std::string firstEvent = whole.substr(0, whole.find("\r\n\r\n") + 4);
+    struct row {
+        const char* condition;
+        std::string bytes;
+        const char* text;
+        const char* finishReason;
+        bool isMalformed;
+    };
+    const row rows[] = {
+        { "after a whole one", whole + head + whole, "a |b |", "stop", false },
+        { "after one that broke off between two events", firstEvent + head + whole, "a |", "", true },
+        { "after one that broke off inside an event", "data: {\"cho" + head + whole, "", "", true },
+    };
+    for (const row& item : rows) {
+        engine_stream stream;
+        std::string text;
+        for (const std::string& token : readEngineBytes(stream, item.bytes))
+            text += token + "|";
+        STRCMP_EQUAL_TEXT(item.text, text.c_str(), item.condition);
+        STRCMP_EQUAL_TEXT(item.finishReason, stream.finishReason.c_str(), item.condition);
+        CHECK_EQUAL_TEXT(item.isMalformed, stream.isMalformed, item.condition);
+    }
+}
+
 TEST(EngineCodec, AMalformedStreamIsNotAFinishedAnswer)
 {
     const char* rows[] = {
