Dispatch: calls to endpoints don't share connections

Evidence: AttemptSeparation ALateSecondCopyIsNotTakenAsTheResponseToTheNextCallOfTheClient returned 'stray' with a shared connection. It guards the client; that DispatchDuty asks for its own connections is one line without a test.

Change: mayShareConnection of the HTTP client, off for endpoints. Cost: one connection a call (not measured). Not changed: calls to the store and the cloud, which answer once.

--- a/Source/Core/Dispatch/DispatchDuty.cpp
+++ b/Source/Core/Dispatch/DispatchDuty.cpp
@@ -95,6 +95,7 @@
     request.body = std::move(action.body);
     request.timeLimit = action.timeLimit;
     request.mayRepeat = action.mayRepeat;
+    request.mayShareConnection = false;
     const Common::attempt_number attempt = action.attempt;
     const auto onEnd = [this, attempt, isModelWork = action.isModelWork](Http::transfer_answer&& answer) {
         endAttempt(attempt, isModelWork, std::move(answer));
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -79,7 +79,7 @@
         curl_easy_setopt(item.handle, CURLOPT_PROXY, "");
         curl_easy_setopt(item.handle, CURLOPT_TIMEOUT_MS, static_cast<long>(item.request.timeLimit.count()));
         curl_easy_setopt(item.handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(item.request.connectLimit.count()));
-        if (!item.request.mayRepeat) {
+        if (!item.request.mayRepeat || !item.request.mayShareConnection) {
             curl_easy_setopt(item.handle, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(item.handle, CURLOPT_FORBID_REUSE, 1L);
         }
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -33,6 +33,9 @@
     /// libcurl resends a request on its own when a reused connection turns out to be closed. A request that must not be
     /// sent twice gets a new connection.
     bool mayRepeat { true };
+    /// The response doesn't say which request it belongs to, so a late copy of an earlier one on a shared connection would be
+    /// taken for it. Off for servers that may answer twice.
+    bool mayShareConnection { true };
     uint64_t maxAnswerBytes { uint64_t { 16 } * 1024 * 1024 };
 };
 
--- a/Tests/Platform/AttemptSeparationTest.cpp
+++ b/Tests/Platform/AttemptSeparationTest.cpp
@@ -2,6 +2,7 @@
 /// Responses of endpoints that break off, or that send a second copy late: no byte of one attempt may reach the caller
 /// as part of another.
 
+#include "Http/Client.h"
 #include "Platform/RunningGateway.h"
 
 #include <CppUTest/TestHarness.h>
@@ -10,6 +11,19 @@
 
 using namespace PlatformTests;
 
+/// @return the body of the response to a GET request.
+std::string fetchOnOwnConnection(Http::client& client, const std::string& url)
+{
+    Http::outgoing_request request;
+    request.url = url;
+    request.mayShareConnection = false;
+    std::string body;
+    client.start(std::move(request), [&body](Http::transfer_answer&& answer) { body = answer.body; });
+    while (client.active() > 0)
+        client.poll(std::chrono::milliseconds(50));
+    return body;
+}
+
 } // namespace
 
 TEST_GROUP(AttemptSeparation) {};
@@ -146,3 +160,12 @@
             CHECK_TEXT(answer.ends_with("\r\n\r\n" + chunk("id: 1\ndata: a\n\n") + rest), item.condition);
     }
 }
+
+TEST(AttemptSeparation, ALateSecondCopyIsNotTakenAsTheResponseToTheNextCallOfTheClient)
+{
+    const std::string stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+    scripted_endpoint endpoint({ { completeAnswer, answer_end::Late, stray }, { completeAnswer, answer_end::Keep } });
+    Http::client client;
+    for (int call = 0; call < 3; ++call)
+        STRCMP_EQUAL("hello", fetchOnOwnConnection(client, "http://" + endpoint.address() + "/").c_str());
+}
--- a/Tests/Platform/ScriptedEndpoint.cpp
+++ b/Tests/Platform/ScriptedEndpoint.cpp
@@ -25,6 +25,7 @@
     constexpr int testPortCount = 11000;
 
     constexpr int pollIntervalMs = 20;
+    constexpr std::chrono::milliseconds lateAfter { 50 };
     constexpr auto readTimeout = std::chrono::seconds(2);
 
     bool isReadable(tcp::socket& socket)
@@ -145,6 +146,10 @@
             return socket.close();
         if (answer.end == answer_end::Endless)
             return sendWithoutEnd(socket, answer.repeated);
+        if (answer.end == answer_end::Late) {
+            std::this_thread::sleep_for(lateAfter);
+            boost::asio::write(socket, boost::asio::buffer(answer.repeated), error);
+        }
         isWaiting = answer.end == answer_end::Wait;
     }
 }
