Logs: which prompt parts a broken attempt carried, and whether its endpoint still accepts connections

The logs couldn't show it: no line named the parts of a request, and none told an endpoint that went down from one that broke off a single response.

attempt_broken names up to eight shared parts (hashes, cut at 32 characters), the time since the head of the response and this node's other requests at the endpoint. endpoint_checked says whether the endpoint accepts connections 100 ms later; a refused connection means that nothing listens any more. One check at a time for each endpoint. No decision depends on either yet.

Weighed: to take simultaneous breaks of other requests as the sign.

--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -23,6 +23,7 @@
     Scheduling::placement placement;
     Common::version_name version;
     int status { 0 };
+    std::optional<Common::instant> headReceived; ///< When the head of the response arrived.
     body_framing framing { body_framing::Length };
     bool isConnectionReused { false };
     response_facts response;
--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -3,6 +3,7 @@
 #include "Common/Log.h"
 #include "Gateway/AttemptOutcome.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include <fmt/format.h>
@@ -11,6 +12,20 @@
 
 namespace {
 
+    /// Prompt parts named in a log line, from the last shared one backwards.
+    constexpr size_t maxLoggedParts = 8;
+    constexpr size_t maxLoggedPartLength = 32;
+
+    /// @return ids of the parts that other requests may share, without the last part.
+    std::vector<std::string> sharedPartIds(const Scheduling::model_request& model)
+    {
+        std::vector<std::string> ids;
+        const size_t count = model.parts.empty() ? 0 : model.parts.size() - 1;
+        for (size_t part = count - std::min(count, maxLoggedParts); part < count; ++part)
+            ids.push_back(model.parts[part].id.substr(0, maxLoggedPartLength));
+        return ids;
+    }
+
     /// Adds what tells which bytes an attempt's response was made of.
     void addResponseFields(nlohmann::json& fields, const proxied_call& call)
     {
@@ -40,6 +55,17 @@
     Common::logEvent(Common::log_level::Warning, "second_response_in_body", std::move(fields));
 }
 
+void logBrokenAttempt(const proxied_call& call, size_t othersInFlight, Common::instant now)
+{
+    const attempt& current = *call.currentAttempt;
+    nlohmann::json fields { { "request", call.facts.attemptId }, { "endpoint", current.placement.endpoint.value }, { "status", current.status }, { "others_in_flight", othersInFlight } };
+    if (current.headReceived)
+        fields["ms_after_head"] = std::llround(toMs(now - *current.headReceived));
+    if (call.facts.model)
+        fields["shared_parts"] = sharedPartIds(*call.facts.model);
+    Common::logEvent(Common::log_level::Info, "attempt_broken", std::move(fields));
+}
+
 void logEnd(const proxied_call& call, std::string_view outcome, int status, Common::instant now)
 {
     nlohmann::json fields { { "request", call.facts.attemptId }, { "outcome", outcome }, { "status", status }, { "ms", std::llround(toMs(now - call.arrived)) } };
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -9,6 +9,7 @@
 #include "Gateway/Call.h"
 #include "Gateway/CallLog.h"
 #include "Gateway/ChannelPool.h"
+#include "Gateway/CrashWatch.h"
 #include "Gateway/Placement.h"
 #include "Gateway/ResponseBoundary.h"
 
@@ -74,6 +75,7 @@
     std::vector<gateway_message> batch;
     session_events sessionEvents;
     channel_pool channels { context };
+    crash_watch crashes { context };
     std::unordered_set<caller_session_pointer> sessions;
     std::unordered_map<caller_session*, std::unique_ptr<proxied_call>> calls;
     std::atomic<size_t> callCount { 0 };
@@ -210,6 +212,7 @@
     {
         attempt& current = *call.currentAttempt;
         current.status = head.status;
+        current.headReceived = clockNow();
         current.framing = head.framing;
         current.isConnectionReused = head.isConnectionReused;
         current.response = settings.wire.readResponse(head.headers);
@@ -288,6 +291,8 @@
         if (outcome != attempt_end::NotSent && outcome != attempt_end::NotRun && !current.isStartRecorded)
             recordStart(call);
         recordAttemptEnd(call, outcome);
+        if (result.end == exchange_end::Broken)
+            crashes.attemptBroken(call, Scheduling::countPlaced(state.scheduler, current.placement.endpoint), clockNow());
         performStep(call, outcome, decideWithinRetryBudget(call, outcome));
     }
 
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -330,6 +330,12 @@
     }
 }
 
+size_t countPlaced(const scheduler_state& state, const Common::endpoint_id& endpoint)
+{
+    const auto found = state.endpoints.find(endpoint);
+    return found == state.endpoints.end() ? 0 : found->second.placed.size();
+}
+
 void recordReportedLoad(scheduler_state& state, const Common::endpoint_id& endpoint, const reported_load& load, Common::instant now)
 {
     endpoint_state* found = find(state, endpoint);
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -128,6 +128,9 @@
 /// Records the end of a placed request; repeated failures eject the endpoint for a while.
 void recordEnd(scheduler_state& state, const Common::endpoint_id& endpoint, placement_id id, placement_end end, Common::instant now);
 
+/// @return this node's requests at the endpoint that haven't ended.
+size_t countPlaced(const scheduler_state& state, const Common::endpoint_id& endpoint);
+
 /// Stores the load that an endpoint reported.
 void recordReportedLoad(scheduler_state& state, const Common::endpoint_id& endpoint, const reported_load& load, Common::instant now);
 
