--- a/Tests/Platform/ScriptedEndpoint.cpp
+++ b/Tests/Platform/ScriptedEndpoint.cpp
@@ -57,9 +57,11 @@
 
 scripted_endpoint::scripted_endpoint(std::vector<scripted_answer> answers)
     : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
-    , m_answers(std::move(answers))
-    , m_thread([this] { serve(); })
+    , m_address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
 {
+    for (scripted_answer& answer : answers)
+        (answer.requestText.empty() ? m_answers : m_conditionalAnswers).push_back(std::move(answer));
+    m_thread = std::thread([this] { serve(); });
 }
 
 scripted_endpoint::~scripted_endpoint()
@@ -72,7 +74,7 @@
 
 std::string scripted_endpoint::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return m_address;
 }
 
 std::vector<std::string> scripted_endpoint::requests() const
@@ -94,7 +96,7 @@
 void scripted_endpoint::serve()
 {
     m_acceptor.non_blocking(true);
-    while (!m_isStopping) {
+    while (!m_isStopping && !m_isDown) {
         pollfd waiting { m_acceptor.native_handle(), POLLIN, 0 };
         if (poll(&waiting, 1, pollIntervalMs) <= 0)
             continue;
@@ -106,13 +108,24 @@
         socket.non_blocking(false);
         m_connections.emplace_back([this, socket = std::move(socket)]() mutable { serveConnection(std::move(socket)); });
     }
+    error_code error;
+    m_acceptor.close(error);
+}
+
+scripted_answer scripted_endpoint::chooseAnswer(const std::string& request)
+{
+    for (const scripted_answer& answer : m_conditionalAnswers) {
+        if (request.find(answer.requestText) != std::string::npos)
+            return answer;
+    }
+    return m_answers[std::min(++m_answered, m_answers.size()) - 1];
 }
 
 scripted_answer scripted_endpoint::nextAnswer(const std::string& request)
 {
     const std::lock_guard guard(m_mutex);
     m_requests.push_back(request);
-    scripted_answer answer = m_answers[std::min(m_requests.size(), m_answers.size()) - 1];
+    scripted_answer answer = chooseAnswer(request);
     const std::string id = headerValue(request, "X-Filbertreel-Attempt-Id");
     for (size_t found = answer.bytes.find("@ID@"); found != std::string::npos; found = answer.bytes.find("@ID@"))
         answer.bytes.replace(found, 4, id);
@@ -124,7 +137,7 @@
     std::string received;
     std::array<char, 4096> buffer {};
     bool isWaiting = false;
-    while (!m_isStopping) {
+    while (!m_isStopping && !m_isDown) {
         if (!isReadable(socket))
             continue;
         error_code error;
@@ -140,6 +153,7 @@
         const scripted_answer answer = nextAnswer(received.substr(0, message));
         received.erase(0, message);
         boost::asio::write(socket, boost::asio::buffer(answer.bytes), error);
+        m_isDown = m_isDown || answer.end == answer_end::GoDown;
         if (answer.end == answer_end::Reset)
             socket.set_option(boost::asio::socket_base::linger(true, 0), error);
         if (answer.end == answer_end::Reset || answer.end == answer_end::Close)
--- a/Tests/Platform/ScriptedEndpoint.h
+++ b/Tests/Platform/ScriptedEndpoint.h
@@ -22,6 +22,7 @@
     Wait, ///< Sends nothing more and expects the other side to close.
     Late, ///< Keeps the connection open and sends scripted_answer::repeated once, somewhat later.
     Endless, ///< Sends scripted_answer::repeated until the other side closes.
+    GoDown, ///< Closes all connections and accepts no further ones.
 };
 
 /// One answer. "@ID@" in the bytes is replaced by the request's attempt id.
@@ -29,11 +30,12 @@
     std::string bytes;
     answer_end end { answer_end::Keep };
     std::string repeated {};
+    std::string requestText {}; ///< If set, the answer is given to each request that contains this text, and to no other.
 };
 
 class scripted_endpoint {
 public:
-    /// @param answers one for each request, in order; the last one repeats.
+    /// @param answers one for each request, in order; the last one repeats. Those with a requestText aren't in the order.
     explicit scripted_endpoint(std::vector<scripted_answer> answers);
     ~scripted_endpoint();
     scripted_endpoint(const scripted_endpoint&) = delete;
@@ -52,16 +54,21 @@
     void serve();
     void serveConnection(boost::asio::ip::tcp::socket socket);
     scripted_answer nextAnswer(const std::string& request);
+    scripted_answer chooseAnswer(const std::string& request);
     void sendWithoutEnd(boost::asio::ip::tcp::socket& socket, const std::string& repeated);
 
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    std::string m_address;
     std::vector<scripted_answer> m_answers;
+    std::vector<scripted_answer> m_conditionalAnswers;
+    size_t m_answered { 0 }; ///< Of m_answers.
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::vector<std::thread> m_connections;
     std::atomic<int> m_abandoned { 0 };
     std::atomic<size_t> m_bytesSent { 0 };
+    std::atomic<bool> m_isDown { false };
     std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
 };
