Quarantine: prompt parts under which endpoints go down (not used yet)

CrashEvidence keeps responses that broke off within a second of their head until it is known whether the endpoint went down (nothing listens any more, gone from the listing, started again) or only tore that response.

--- /dev/null
+++ b/Source/Core/Quarantine/CrashEvidence.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/// @file
+/// Tells which broken responses come from an endpoint that went down, and which prompt parts their requests carried.
+/// Reads no clock and no socket.
+
+#include "Fleet/EndpointRegistry.h"
+#include "Scheduling/Work.h"
+
+#include <compare>
+#include <deque>
+#include <vector>
+
+namespace Quarantine {
+
+using std::chrono::milliseconds;
+
+/// Hash of a service and a prompt part; the same on every node.
+using part_hash = Common::strong_type<struct part_hash_tag, uint64_t>;
+
+/// One run of an endpoint.
+struct endpoint_start {
+    Common::endpoint_id endpoint;
+    Fleet::start_time started;
+
+    friend auto operator<=>(const endpoint_start&, const endpoint_start&) = default;
+};
+
+/// @param service that runs the request.
+/// @param model the request's prompt parts.
+/// @return the parts that other requests may share: all but the last.
+std::vector<part_hash> sharedParts(const Common::service_name& service, const Scheduling::model_request& model);
+
+/// A response that broke off shortly after it began.
+struct broken_response {
+    endpoint_start start;
+    std::vector<part_hash> parts; ///< Of the request.
+    Common::instant brokenAt;
+};
+
+/// Broken responses of which it isn't known yet whether their endpoint went down, oldest first.
+struct crash_evidence {
+    std::deque<broken_response> pending;
+};
+
+/// A response that broke off later than this after its head doesn't count against the request's parts.
+constexpr milliseconds maxResponseAge { 1000 };
+/// A broken response whose endpoint stays up for this time is forgotten. Covers the time after which a listing no longer
+/// contains an endpoint that went down.
+constexpr milliseconds pendingLifetime { 6000 };
+constexpr size_t maxPendingResponses = 256;
+
+/// Adds a broken response; the oldest one is dropped if there are too many.
+/// @param evidence changed in place.
+/// @param response a response that broke off at most maxResponseAge after its head.
+void addBrokenResponse(crash_evidence& evidence, broken_response response);
+
+/// The endpoint went down.
+/// @return its broken responses, which are no longer pending.
+std::vector<broken_response> takeCrashed(crash_evidence& evidence, const endpoint_start& start);
+
+/// Takes the broken responses of endpoints that are no longer listed or were started again. An endpoint that announced
+/// that it leaves didn't crash.
+/// @param listed all known endpoints.
+/// @param now current time.
+/// @return the broken responses of endpoints that went down.
+std::vector<broken_response> takeVanished(crash_evidence& evidence, const Fleet::endpoint_map& listed, Common::instant now);
+
+/// The endpoint was up at a time: forgets its broken responses before that time.
+void clearStillUp(crash_evidence& evidence, const endpoint_start& start, Common::instant upAt);
+
+} // namespace Quarantine
