Logs: a broken attempt names the hashes of its prompt parts; tests of the statements between nodes

prompt_part_changed names a part by the hash that the nodes exchange, attempt_broken by the id that callers send. With part_hashes in attempt_broken one leads to the other.

Tests: statements arrive as sent in at most 60 bytes, and a kind that isn't known is ignored.

--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/CallLog.h"
 
+#include "Common/Hash.h"
 #include "Common/Log.h"
 #include "Gateway/AttemptOutcome.h"
 
@@ -26,6 +27,15 @@
         return ids;
     }
 
+    /// @return hashes of the same parts, as the nodes exchange them.
+    std::vector<std::string> sharedPartHashes(const std::vector<Quarantine::part_hash>& parts)
+    {
+        std::vector<std::string> hashes;
+        for (size_t part = parts.size() - std::min(parts.size(), maxLoggedParts); part < parts.size(); ++part)
+            hashes.push_back(Common::toHex(parts[part].value));
+        return hashes;
+    }
+
     /// Adds what tells which bytes an attempt's response was made of.
     void addResponseFields(nlohmann::json& fields, const proxied_call& call)
     {
@@ -61,8 +71,10 @@
     nlohmann::json fields { { "request", call.facts.attemptId }, { "endpoint", current.placement.endpoint.value }, { "status", current.status }, { "others_in_flight", othersInFlight } };
     if (current.headReceived)
         fields["ms_after_head"] = std::llround(toMs(now - *current.headReceived));
-    if (call.facts.model)
+    if (call.facts.model) {
         fields["shared_parts"] = sharedPartIds(*call.facts.model);
+        fields["part_hashes"] = sharedPartHashes(call.sharedParts);
+    }
     Common::logEvent(Common::log_level::Info, "attempt_broken", std::move(fields));
 }
 
--- /dev/null
+++ b/Source/Core/Membership/Tests/PeerCodecTest.cpp
@@ -0,0 +1,47 @@
+/// @file
+/// Messages between nodes.
+
+#include "Membership/PeerCodec.h"
+
+#include "Protocol/peer.pb.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace Membership;
+using Quarantine::part_statement;
+using Quarantine::statement_kind;
+
+} // namespace
+
+TEST_GROUP(PeerCodec) {};
+
+TEST(PeerCodec, AStatementAboutAPromptPartArrivesAsItWasSentInSixtyBytes)
+{
+    constexpr size_t maxBytes = 60;
+    const part_statement rows[] = {
+        { statement_kind::Crash, { 0xffffffffffffffff }, { { "i-0123456789" }, { 1792817495870 } }, Quarantine::milliseconds(6000), 0 },
+        { statement_kind::Sound, { 1 }, {}, {}, 0 },
+        { statement_kind::Quarantined, { 2 }, {}, Quarantine::milliseconds(600000), 7 },
+    };
+    for (const part_statement& item : rows) {
+        filbertreel::peer::prompt_part_statement record;
+        encodePartStatement(item, record);
+        CHECK_TRUE(record.ByteSizeLong() <= maxBytes);
+        const std::optional<part_statement> received = decodePartStatement(record);
+        CHECK_TRUE(received.has_value());
+        CHECK_TRUE(received->kind == item.kind && received->part == item.part && received->crashed == item.crashed);
+        CHECK_TRUE(received->age == item.age && received->trials == item.trials);
+    }
+}
+
+TEST(PeerCodec, AStatementOfAKindThatIsNotKnownIsIgnored)
+{
+    filbertreel::peer::prompt_part_statement record;
+    record.set_part(1);
+    for (const uint32_t kind : { 0U, 4U, 0xffffffffU }) {
+        record.set_kind(kind);
+        CHECK_FALSE(decodePartStatement(record).has_value());
+    }
+}
