Tests: sound requests while endpoints crash for other reasons

Endpoints go down at random, under no part in particular, 0.5 to 2 a second of ten that are back after four seconds. Up to one crash a second no sound part is quarantined (1, 7, 80, 300 nodes). Beyond, only the bound of the stated target is checked: at least half of the sound requests aren't refused.

--- a/Source/Core/Quarantine/Tests/CrashDayTest.cpp
+++ b/Source/Core/Quarantine/Tests/CrashDayTest.cpp
@@ -30,6 +30,8 @@
     double tornShare; ///< Of the sound answers that an endpoint breaks off while it stays up.
     double crashingPerSecond;
     double soundPerSecond;
+    double otherCrashesPerSecond { 0 }; ///< Of endpoints, under no part in particular.
+    size_t soundParts { 40 };
 };
 
 struct day_result {
@@ -39,6 +41,8 @@
     int soundBefore { 0 }; ///< Sound requests that began at the first attempt before the first crash.
     int soundAfter { 0 }; ///< The same from 2 contactMs after the fifth crash.
     int quarantinedSoundParts { 0 };
+    int soundArrived { 0 };
+    int soundRefused { 0 }; ///< Because of a quarantined part.
 };
 
 struct modelled_endpoint {
@@ -147,15 +151,24 @@
         running_request request {};
         request.node = choose(plan.nodes);
         request.isCrashing = isCrashing;
-        request.parts = { first, isCrashing ? crashingPart : part_hash { 100 + choose(40) } };
+        request.parts = { first, isCrashing ? crashingPart : part_hash { 100 + choose(plan.soundParts) } };
         const part_verdict verdict = judgeRequest(nodes[request.node], request.parts, at(nowMs));
-        if (verdict.refusedFor && !isCrashing)
-            refusedSound.insert(request.parts[1]);
+        if (!isCrashing)
+            countSound(request, verdict.refusedFor.has_value());
         request.isTrial = verdict.isTrial;
         if (!verdict.refusedFor)
             send(std::move(request));
     }
 
+    void countSound(const running_request& request, bool isRefused)
+    {
+        ++result.soundArrived;
+        if (!isRefused)
+            return;
+        ++result.soundRefused;
+        refusedSound.insert(request.parts[1]);
+    }
+
     void end(const running_request& request)
     {
         modelled_endpoint& endpoint = endpoints[request.endpoint];
@@ -218,6 +231,9 @@
                 arrive(false);
             if (nowMs >= crashStartMs && happens(plan.crashingPerSecond / 1000))
                 arrive(true);
+            const std::optional<size_t> unlucky = happens(plan.otherCrashesPerSecond / 1000) ? chooseUp() : std::nullopt;
+            if (unlucky)
+                crash(endpoints[*unlucky]);
             handleDue(ends, [this](const running_request& request) { end(request); });
             handleDue(checks, [this](const std::pair<size_t, broken_response>& item) { check(item.first, item.second); });
             handleDue(deliveries, [this](const delivery& item) { applyStatement(nodes[item.to], nameOf(item.from), item.statement, at(nowMs)); });
@@ -264,3 +280,27 @@
             CHECK_EQUAL(0U, node.suspects.size());
     }
 }
+
+TEST(CrashDay, SoundRequestsAreServedWhileEndpointsCrashForOtherReasons)
+{
+    struct row {
+        day_plan plan;
+        bool mayQuarantine; ///< Most requests break off, so a rare part may look like a guilty one.
+    };
+    const row rows[] = {
+        { { 1, 0, 0, 60, 1, 40 }, false },
+        { { 7, 0, 0, 60, 0.5, 400 }, false },
+        { { 80, 0, 0, 60, 1, 400 }, false },
+        { { 300, 0, 0, 60, 1, 400 }, false },
+        { { 7, 0.5, 0, 60, 1, 400 }, true },
+        { { 7, 0, 0, 60, 2, 400 }, true },
+        { { 80, 0, 0, 60, 2, 400 }, true },
+    };
+    for (const row& item : rows) {
+        const std::string condition = std::to_string(item.plan.nodes) + " nodes, torn " + std::to_string(item.plan.tornShare) + ", crashes per second " + std::to_string(item.plan.otherCrashesPerSecond);
+        const day_result result = crash_day(item.plan).play();
+        CHECK_TEXT(result.crashes > endpointCount, condition.c_str());
+        CHECK_TEXT(item.mayQuarantine || result.quarantinedSoundParts == 0, condition.c_str());
+        CHECK_TEXT(result.soundRefused * 2 <= result.soundArrived, condition.c_str());
+    }
+}
