An endpoint that says in a response that it is leaving gets no further request

What callers could see: requests to an endpoint that had said `Server-Leaving: 1` for longer than drainMs (DRAIN), as long as its entry in the store said ready: the header was passed on and otherwise unread.

Change: the head of any response that belongs to the attempt's request (isForOtherRequest, as before) and isn't 421 marks that start of the endpoint in the gateway's own scheduler, at once and whatever its status or framing. The mark outlives listings and gaps in them and ends with a later start (Scheduling/Declarations). The control duty marks the start in its registry as it does for a peer's notice, and so tells the other nodes. A response without the request's id counts on a new connection only, as it does for its caller.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -289,7 +289,7 @@
         const auto change = Fleet::markLeaving(context.endpoints, message.endpoint, message.started);
         if (!change)
             return;
-        publishEndpointChange(*change, "peer");
+        publishEndpointChange(*change, message.source);
         outlets.sendToGateway(Gateway::endpoints_update { context.endpoints.endpoints });
     }
 
--- a/Source/Core/Control/ControlDuty.h
+++ b/Source/Core/Control/ControlDuty.h
@@ -27,10 +27,11 @@
     Scaling::node_demand demand;
 };
 
-/// A peer, or the endpoint itself, reports that an endpoint is leaving.
+/// A peer, or the endpoint itself in a response, reports that an endpoint is leaving.
 struct endpoint_leaving_received {
     Common::endpoint_id endpoint;
     Fleet::start_time started;
+    const char* source { "peer" }; ///< Of the report, for the log.
 };
 
 /// A peer has announced a catalog version that may be newer than this node's.
--- a/Source/Core/Gateway/AttemptOutcome.cpp
+++ b/Source/Core/Gateway/AttemptOutcome.cpp
@@ -27,6 +27,11 @@
     return status / statusesPerClass == successClass;
 }
 
+bool isMisdirected(int status)
+{
+    return status == misdirectedStatus;
+}
+
 bool isForOtherRequest(const proxied_call& call)
 {
     const attempt& current = *call.currentAttempt;
@@ -44,7 +49,7 @@
     const bool endsInsideEvent = current.hasEvents && !current.events.partial.empty();
     if (end == exchange_end::Broken || endsInsideEvent)
         return attempt_end::Broken;
-    if (current.response.hasNotRun || current.status == misdirectedStatus)
+    if (current.response.hasNotRun || isMisdirected(current.status))
         return attempt_end::NotRun;
     if (!current.response.hasProofOfOrigin)
         return attempt_end::Broken;
--- a/Source/Core/Gateway/AttemptOutcome.h
+++ b/Source/Core/Gateway/AttemptOutcome.h
@@ -15,6 +15,9 @@
 /// @return whether an HTTP status is 2xx.
 bool isSuccess(int status);
 
+/// @return whether an HTTP status says that the request was meant for another endpoint.
+bool isMisdirected(int status);
+
 /// @param call a request whose current attempt has received the head of a response.
 /// @return whether the response belongs to another request. On a connection that has carried one before, a response that
 /// names no request may be a late copy.
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -10,6 +10,7 @@
 #include "Gateway/CallLog.h"
 #include "Gateway/ChannelPool.h"
 #include "Gateway/CrashWatch.h"
+#include "Gateway/EndpointDeclarations.h"
 #include "Gateway/Placement.h"
 #include "Gateway/ResponseBoundary.h"
 
@@ -219,9 +220,9 @@
         current.framing = head.framing;
         current.isConnectionReused = head.isConnectionReused;
         current.response = settings.wire.readResponse(head.headers);
-        if (current.response.load)
-            Scheduling::recordReportedLoad(state.scheduler, current.placement.endpoint, *current.response.load, clockNow());
         current.isForOtherRequest = isForOtherRequest(call);
+        if (applyDeclarations(state, call, clockNow()) && outlets.endpointLeaving)
+            outlets.endpointLeaving(current.placement.endpoint, current.placement.started);
         const bool isTrusted = !current.isForOtherRequest && current.response.hasProofOfOrigin && !current.response.hasContentEncoding;
         if (isSuccess(head.status) && !isTrusted)
             return false;
--- a/Source/Core/Gateway/GatewayDuty.h
+++ b/Source/Core/Gateway/GatewayDuty.h
@@ -21,6 +21,8 @@
     std::function<void()> leaveStarted;
     /// Tells other nodes about a prompt part; may be empty.
     std::function<void(Quarantine::outgoing_statement&&)> sendPartStatement;
+    /// An endpoint said for the first time, in a response, that it is leaving; may be empty.
+    std::function<void(const Common::endpoint_id&, Fleet::start_time)> endpointLeaving {};
 };
 
 struct gateway_settings {
--- a/Source/Core/Gateway/WireFormat.h
+++ b/Source/Core/Gateway/WireFormat.h
@@ -40,6 +40,7 @@
     std::string attemptId; ///< Attempt id of the request that the response belongs to; may be empty.
     bool hasProofOfOrigin { false }; ///< The response carries an endpoint's proof of origin.
     bool hasNotRun { false }; ///< The endpoint states that it did not run the request.
+    bool isLeaving { false }; ///< The endpoint states that it is leaving.
     std::optional<Scheduling::reported_load> load;
     std::optional<milliseconds> keepAlive; ///< How long the endpoint keeps an idle connection open.
     bool hasContentEncoding { false };
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -155,9 +155,15 @@
         return now < endpoint.warmUpEnd ? ms * warmUpFactor : ms;
     }
 
-    bool isEligible(const endpoint_state& endpoint, const placement_request& request, const placement_limits& limits)
+    bool isReady(const scheduler_state& state, const Fleet::endpoint& endpoint)
     {
-        if (endpoint.facts.service != request.service || endpoint.facts.phase != Fleet::endpoint_phase::Ready)
+        const declaration* declared = findDeclaration(state.declarations, endpoint.id, endpoint.started);
+        return endpoint.phase == Fleet::endpoint_phase::Ready && !(declared && declared->isLeaving);
+    }
+
+    bool isEligible(const scheduler_state& state, const endpoint_state& endpoint, const placement_request& request, const placement_limits& limits)
+    {
+        if (endpoint.facts.service != request.service || !isReady(state, endpoint.facts))
             return false;
         if (limits.onlyVersion && endpoint.facts.version != *limits.onlyVersion)
             return false;
@@ -177,7 +183,7 @@
     {
         candidate best;
         for (auto& [id, endpoint] : state.endpoints) {
-            if (!isEligible(endpoint, request, limits) || (!includesEjected && now < endpoint.ejectedUntil))
+            if (!isEligible(state, endpoint, request, limits) || (!includesEjected && now < endpoint.ejectedUntil))
                 continue;
             candidate next { &endpoint };
             next.uncachedTokens = request.model ? countUncachedTokens(endpoint, *request.model) : 0;
@@ -204,7 +210,7 @@
         }
         chosen.endpoint->waitingTokens += chosen.uncachedTokens;
         chosen.endpoint->placed.emplace(id, placed);
-        return { chosen.endpoint->facts.id, chosen.endpoint->facts.address, id, chosen.predicted, chosen.uncachedTokens };
+        return { chosen.endpoint->facts.id, chosen.endpoint->facts.started, chosen.endpoint->facts.address, id, chosen.predicted, chosen.uncachedTokens };
     }
 
     endpoint_state* find(scheduler_state& state, const Common::endpoint_id& id)
@@ -355,8 +361,8 @@
 
 bool hasEndpoint(const scheduler_state& state, const Common::service_name& service)
 {
-    return std::any_of(state.endpoints.begin(), state.endpoints.end(), [&service](const auto& entry) {
-        return entry.second.facts.service == service && entry.second.facts.phase == Fleet::endpoint_phase::Ready;
+    return std::any_of(state.endpoints.begin(), state.endpoints.end(), [&](const auto& entry) {
+        return entry.second.facts.service == service && isReady(state, entry.second.facts);
     });
 }
 
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -7,6 +7,7 @@
 #include "Catalog/Catalog.h"
 #include "Common/Random.h"
 #include "Fleet/EndpointRegistry.h"
+#include "Scheduling/Declarations.h"
 #include "Scheduling/PromptCache.h"
 #include "Scheduling/Work.h"
 
@@ -67,6 +68,7 @@
 struct scheduler_state {
     location ownLocation;
     std::map<Common::endpoint_id, endpoint_state> endpoints;
+    declaration_map declarations;
     std::map<Common::service_name, prefill_regression> prefillRegressions;
     /// Recent correction of predicted times over all endpoints of a service. It captures load caused by other nodes: a
     /// single node uses each endpoint too rarely to measure that per endpoint.
@@ -77,6 +79,7 @@
 
 struct placement {
     Common::endpoint_id endpoint;
+    Fleet::start_time started; ///< The start of the endpoint that was chosen.
     std::string address;
     placement_id id;
     double predictedMs { 0 }; ///< Predicted time to the first event.
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -117,6 +117,10 @@
         // The readiness changes after the gateway has been told: a caller that sees it must not get a response that
         // keeps its connection open.
         outlets.leaveStarted = [this] { directory.setReady(false); };
+        outlets.endpointLeaving = [this](const Common::endpoint_id& id, Fleet::start_time started) {
+            if (!control.submit(Control::endpoint_leaving_received { id, started, "response" }))
+                Common::logEvent(Common::log_level::Warning, "message_dropped", { { "message", "endpoint_leaving" }, { "duty", "control" } });
+        };
         return outlets;
     }
 
--- a/Tests/Platform/NodeTest.cpp
+++ b/Tests/Platform/NodeTest.cpp
@@ -120,6 +120,32 @@
     CHECK(eventually([&] { return node.log().find("endpoint_entry_unreadable") != std::string::npos; }));
 }
 
+TEST(PlatformNode, AnEndpointsOwnWordThatItLeavesHoldsOnAllNodesWhileItsEntrySaysReady)
+{
+    store_stand_in store;
+    const std::string leavingAnswer = "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.1\r\nServer-Leaving: 1\r\nContent-Length: 5\r\n\r\nhello";
+    scripted_endpoint endpoint({ { leavingAnswer } });
+    store.put("op", "config", makeManifest(3, "k1"));
+    store.put("servers", "i-1", makeEntry(endpoint.address()));
+    running_node first({ .name = "n1", .storeAddress = store.address() });
+    running_node second({ .name = "n2", .storeAddress = store.address() });
+    const auto knows = [](const running_node& node, const char* text) { return node.log().find(text) != std::string::npos; };
+    CHECK(eventually([&] { return knows(first, "member_changed") && knows(second, "member_changed") && knows(first, "endpoint_changed") && knows(second, "endpoint_changed"); }));
+    CHECK(eventually([&] { return first.readiness() == 200 && second.readiness() == 200; }));
+    CHECK_EQUAL(200, first.served());
+    CHECK_EQUAL(503, first.served());
+    CHECK(eventually([&] { return knows(second, "began_leaving"); }));
+    store.put("servers", "i-1", makeEntry(endpoint.address()));
+    std::this_thread::sleep_for(milliseconds(500));
+    CHECK_EQUAL(503, first.served());
+    CHECK_EQUAL(503, second.served());
+    CHECK_EQUAL(1, endpoint.requests().size());
+    json restarted = makeEntry(endpoint.address());
+    restarted["born"] = 2;
+    store.put("servers", "i-1", restarted);
+    CHECK(eventually([&] { return second.served() == 200; }));
+}
+
 TEST(PlatformNode, ALeavingNodeIsOutOfTheDirectoryAndEndsInTime)
 {
     store_stand_in store;
--- a/Tests/Platform/PromptQuarantineTest.cpp
+++ b/Tests/Platform/PromptQuarantineTest.cpp
@@ -56,7 +56,7 @@
     CHECK_TRUE(countRequestsWith(gateway, crashingPart) <= maxCrashes);
     CHECK_EQUAL(503, statusOf(last));
     CHECK_TRUE(last.find("Retry-After: ") != std::string::npos);
-    gateway.listEndpoints();
+    gateway.sendListing();
     for (int number = 0; number < requestCount; ++number)
         CHECK_EQUAL(200, statusOf(answerTo(gateway, makePromptRequest("5c:800,60:100", number))));
 }
--- a/Tests/Platform/RunningGateway.cpp
+++ b/Tests/Platform/RunningGateway.cpp
@@ -64,11 +64,19 @@
     settings.facts.isFirstStart = true;
     settings.wire = PlatformAdapter::makeWireFormat();
     duty = std::make_unique<Gateway::gateway_duty>(settings, std::move(outlets));
-    for (const auto& script : scripts)
+    for (const auto& script : scripts) {
         endpoints.push_back(std::make_unique<scripted_endpoint>(script));
+        Fleet::endpoint item;
+        item.id = { "e" + std::to_string(endpoints.size()) };
+        item.service = { "s" };
+        // Only the first endpoint is in the gateway's zone, so requests are sent there first.
+        item.zone = { listed.empty() ? "z" : "far" };
+        item.address = endpoints.back()->address();
+        listed[item.id] = item;
+    }
     if (hasCatalog)
         static_cast<void>(duty->submit(Gateway::catalog_update { makeCatalog() }));
-    listEndpoints();
+    sendListing();
     thread = std::thread([this] { duty->run(); });
     waitUntilListening();
 }
@@ -79,6 +87,16 @@
     thread.join();
 }
 
+void running_gateway::sendListing()
+{
+    Gateway::endpoints_update message { listed };
+    for (size_t number = 1; number <= endpoints.size(); ++number) {
+        if (endpoints[number - 1]->isDown())
+            message.endpoints.erase({ "e" + std::to_string(number) });
+    }
+    static_cast<void>(duty->submit(std::move(message)));
+}
+
 void running_gateway::waitUntilListening() const
 {
     for (int tries = 0; tries < 200; ++tries) {
@@ -92,23 +110,6 @@
     throw std::runtime_error("the gateway does not accept connections after 200 tries");
 }
 
-void running_gateway::listEndpoints() const
-{
-    Gateway::endpoints_update message;
-    for (size_t number = 1; number <= endpoints.size(); ++number) {
-        const scripted_endpoint& endpoint = *endpoints[number - 1];
-        Fleet::endpoint item;
-        item.id = { "e" + std::to_string(number) };
-        item.service = { "s" };
-        // Only the first endpoint is in the gateway's zone, so requests are sent there first.
-        item.zone = { number == 1 ? "z" : "far" };
-        item.address = endpoint.address();
-        if (!endpoint.isDown())
-            message.endpoints[item.id] = item;
-    }
-    static_cast<void>(duty->submit(std::move(message)));
-}
-
 size_t running_gateway::arrivals() const
 {
     size_t count = 0;
--- a/Tests/Platform/RunningGateway.h
+++ b/Tests/Platform/RunningGateway.h
@@ -27,6 +27,7 @@
 struct running_gateway {
     uint16_t port { findFreePort() };
     std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    Fleet::endpoint_map listed; ///< What the store lists; its ids are e1, e2 and so on.
     std::unique_ptr<Gateway::gateway_duty> duty;
     std::thread thread;
 
@@ -36,10 +37,10 @@
     running_gateway(const running_gateway&) = delete;
     running_gateway& operator=(const running_gateway&) = delete;
 
-    /// Tells the gateway which endpoints are listed: those that haven't gone down.
-    void listEndpoints() const;
     /// @return the number of requests that reached any endpoint.
     size_t arrivals() const;
+    /// Sends the gateway the endpoints of `listed` that haven't gone down, as after a read of the store.
+    void sendListing();
 
 private:
     void waitUntilListening() const;
