An endpoint that answers 503 with Retry-After gets no request until that time has passed

With all endpoints full they got `Retry-After: 0.5` or a third of their time budget, whatever the endpoints had asked for.

Change: a 503 with Retry-After, of the attempt's request and not of another endpoint, is recorded for that start of the endpoint beside its leaving; of several the longest holds, since each binds. Placement leaves these endpoints out, also where it falls back to ejected ones. All requests of this node go through it; the node sends endpoints no status checks. When every ready endpoint of a service backs off, callers get 503 `backing_off` at once with the time until the first wants requests, without the limit of a third of the caller's time budget, which would name a time at which none does. Zero, negative and unreadable values are ignored, those over ten minutes cut to it; both are logged (retry_after_invalid). The rejections that follow from a placement move from the duty to Placement.

--- a/Source/Core/Gateway/Admission.h
+++ b/Source/Core/Gateway/Admission.h
@@ -17,6 +17,7 @@
     int status { 0 };
     std::string_view reason;
     std::optional<milliseconds> retryAfter;
+    bool isRetryTimeExact { false }; ///< An earlier retry would be rejected as well.
 };
 
 /// @param state the request and its use of the account's allowance are recorded in it.
--- a/Source/Core/Gateway/EndpointDeclarations.cpp
+++ b/Source/Core/Gateway/EndpointDeclarations.cpp
@@ -1,9 +1,50 @@
 #include "Gateway/EndpointDeclarations.h"
 
+#include "Common/Log.h"
 #include "Gateway/AttemptOutcome.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
+namespace {
+
+    constexpr int unavailableStatus = 503;
+    /// An endpoint that states a longer time gets requests again after this one, so that a wrong value can't take it out
+    /// of use for good.
+    constexpr std::chrono::minutes maxBackoff { 10 };
+    constexpr size_t maxLoggedTextBytes = 40;
+
+    void logInvalidBackoff(const proxied_call& call, Common::duration used)
+    {
+        const attempt& current = *call.currentAttempt;
+        Common::logEvent(Common::log_level::Warning, "retry_after_invalid", { { "endpoint", current.placement.endpoint.value }, { "request", call.facts.attemptId }, { "stated", current.response.backoff->text.substr(0, maxLoggedTextBytes) }, { "used_ms", toMs(used) } });
+    }
+
+    /// @return the stated time, limited to maxBackoff; zero if it is no positive number. Both are logged.
+    Common::duration usableBackoff(const proxied_call& call)
+    {
+        const auto stated = call.currentAttempt->response.backoff->time;
+        Common::duration usable { 0 };
+        if (stated && stated->count() > 0)
+            usable = std::chrono::duration_cast<Common::duration>(std::min<std::chrono::duration<double>>(*stated, maxBackoff));
+        if (!stated || stated->count() <= 0 || *stated > maxBackoff)
+            logInvalidBackoff(call, usable);
+        return usable;
+    }
+
+    void applyBackoff(gateway_state& state, const proxied_call& call, Common::instant now)
+    {
+        const attempt& current = *call.currentAttempt;
+        if (current.status != unavailableStatus || !current.response.backoff)
+            return;
+        const Common::duration time = usableBackoff(call);
+        if (time.count() > 0)
+            Scheduling::declareBackoff(state.scheduler.declarations, current.placement.endpoint, current.placement.started, now + time, now);
+    }
+
+} // namespace
+
 bool applyDeclarations(gateway_state& state, const proxied_call& call, Common::instant now)
 {
     const attempt& current = *call.currentAttempt;
@@ -12,6 +53,7 @@
     // Another endpoint's words say nothing about this one: its address may have been given to that one.
     if (current.isForOtherRequest || isMisdirected(current.status))
         return false;
+    applyBackoff(state, call, now);
     return current.response.isLeaving && Scheduling::declareLeaving(state.scheduler.declarations, current.placement.endpoint, current.placement.started, now);
 }
 
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -37,8 +37,6 @@
     constexpr milliseconds connectTimeout { 400 };
     /// With less time left than this, no further attempt is made.
     constexpr milliseconds minAttemptTime { 20 };
-    /// Retry-After when none of the tried endpoints ran the request.
-    constexpr milliseconds retryAfterNoEndpoint { 500 };
     /// A leaving node still accepts short requests for this share of the grace period, because callers may use a
     /// directory answer for up to three times its lifetime.
     constexpr double acceptingShareOfGrace = 0.75;
@@ -160,7 +158,7 @@
             return startAttempt(call, *placed);
         if (call.progress.endpointsRun > 0 || call.progress.hasHeadSent)
             return failUnknown(call, Scheduling::nameOf(placed.error().reason));
-        refuse(call, { 503, Scheduling::nameOf(placed.error().reason), placed.error().retryAfter });
+        refuse(call, rejectUnplaced(placed.error()));
     }
 
     // --- An attempt at an endpoint
@@ -338,7 +336,7 @@
         case next_step::ForwardResponse:
             return forwardResponse(call);
         case next_step::Refuse:
-            return refuse(call, { 503, nameOf(outcome), retryAfterNoEndpoint });
+            return refuse(call, rejectNotRun(state, call, outcome, clockNow()));
         case next_step::FailUnknown:
             return failUnknown(call, nameOf(outcome));
         case next_step::FailTimeout:
@@ -368,7 +366,7 @@
             Quota::refund(state.quota, call.account, call.allowanceTaken);
         Common::countMetric(fmt::format("filbertreel_refusals_total{{reason=\"{}\"}}", rejection.reason));
         std::optional<milliseconds> retryAfter = rejection.retryAfter;
-        if (retryAfter && call.facts.timeBudget)
+        if (retryAfter && call.facts.timeBudget && !rejection.isRetryTimeExact)
             retryAfter = std::min(*retryAfter, *call.facts.timeBudget / 3);
         call.session->respond(rejection.status, settings.wire.writeGatewayResponse(call.facts, retryAfter), errorBody(rejection.reason), isLeaving());
         finish(call, rejection.reason, rejection.status);
--- a/Source/Core/Gateway/Placement.cpp
+++ b/Source/Core/Gateway/Placement.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+    constexpr int unavailableStatus = 503;
+    /// Retry-After when none of the tried endpoints ran the request, and another one may.
+    constexpr milliseconds retryAfterNotRun { 500 };
+
     Scheduling::placement_request workOf(const proxied_call& call)
     {
         Scheduling::placement_request work;
@@ -43,6 +47,19 @@
     return Scheduling::place(state.scheduler, workOf(call), limits, now);
 }
 
+request_rejection rejectUnplaced(const Scheduling::refusal& refusal)
+{
+    const bool isBackingOff = refusal.reason == Scheduling::refusal_reason::BackingOff;
+    return { unavailableStatus, Scheduling::nameOf(refusal.reason), refusal.retryAfter, isBackingOff };
+}
+
+request_rejection rejectNotRun(const gateway_state& state, const proxied_call& call, attempt_end outcome, Common::instant now)
+{
+    const milliseconds backoff = Scheduling::backoffLeft(state.scheduler, call.service, now);
+    const bool isBackingOff = backoff.count() > 0;
+    return { unavailableStatus, nameOf(outcome), isBackingOff ? backoff : retryAfterNotRun, isBackingOff };
+}
+
 void recordDemand(gateway_state& state, const proxied_call& call)
 {
     if (call.facts.model)
--- a/Source/Core/Gateway/Placement.h
+++ b/Source/Core/Gateway/Placement.h
@@ -3,6 +3,7 @@
 /// @file
 /// Chooses the endpoint of a request's next attempt. Reads no clock and no socket.
 
+#include "Gateway/Admission.h"
 #include "Gateway/Call.h"
 #include "Gateway/GatewayState.h"
 
@@ -14,6 +15,17 @@
 /// @return the endpoint of the next attempt, or why no endpoint can serve the request.
 tl::expected<Scheduling::placement, Scheduling::refusal> choosePlacement(gateway_state& state, const proxied_call& call, Common::instant now);
 
+/// @param refusal why no endpoint can serve a request.
+/// @return the response to its caller.
+request_rejection rejectUnplaced(const Scheduling::refusal& refusal);
+
+/// @param state the endpoints.
+/// @param call a request that none of the tried endpoints ran.
+/// @param outcome of its last attempt.
+/// @param now current time.
+/// @return the response to its caller.
+request_rejection rejectNotRun(const gateway_state& state, const proxied_call& call, attempt_end outcome, Common::instant now);
+
 /// Adds the engine time that a model request needs to the reported demand for its service.
 /// @param state its interval report is updated.
 /// @param call a request with a current attempt.
--- a/Source/Core/Gateway/WireFormat.h
+++ b/Source/Core/Gateway/WireFormat.h
@@ -35,12 +35,19 @@
     std::string resumeAfter; ///< Id of the last event that the caller has; empty if the stream starts at its beginning.
 };
 
+/// How long an endpoint wants no requests, as its response states it.
+struct stated_backoff {
+    std::string text; ///< As sent, for logs.
+    std::optional<std::chrono::duration<double>> time; ///< Any number of seconds; empty if the text is no number.
+};
+
 /// Facts parsed from the headers of an endpoint's response.
 struct response_facts {
     std::string attemptId; ///< Attempt id of the request that the response belongs to; may be empty.
     bool hasProofOfOrigin { false }; ///< The response carries an endpoint's proof of origin.
     bool hasNotRun { false }; ///< The endpoint states that it did not run the request.
     bool isLeaving { false }; ///< The endpoint states that it is leaving.
+    std::optional<stated_backoff> backoff;
     std::optional<Scheduling::reported_load> load;
     std::optional<milliseconds> keepAlive; ///< How long the endpoint keeps an idle connection open.
     bool hasContentEncoding { false };
--- a/Source/Core/Scheduling/Declarations.cpp
+++ b/Source/Core/Scheduling/Declarations.cpp
@@ -39,6 +39,15 @@
     return !std::exchange(entry->isLeaving, true);
 }
 
+void declareBackoff(declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started, Common::instant end, Common::instant now)
+{
+    declaration* entry = findOrAdd(declarations, id, started);
+    if (!entry)
+        return;
+    entry->declaredAt = now;
+    entry->backoffEnd = std::max(entry->backoffEnd, end);
+}
+
 const declaration* findDeclaration(const declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started)
 {
     const auto found = declarations.find(id);
--- a/Source/Core/Scheduling/Declarations.h
+++ b/Source/Core/Scheduling/Declarations.h
@@ -14,6 +14,7 @@
 struct declaration {
     Fleet::start_time started; ///< The start that declared it.
     bool isLeaving { false };
+    Common::instant backoffEnd {}; ///< It wants no requests before.
     Common::instant declaredAt {}; ///< When the newest declaration arrived.
 };
 
@@ -31,6 +32,14 @@
 /// @return whether this was not known.
 bool declareLeaving(declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started, Common::instant now);
 
+/// Records that an endpoint wants no requests for a while. Of several declarations the longest holds.
+/// @param declarations changed in place.
+/// @param id of the endpoint.
+/// @param started the start that said so; a start before the last known one is ignored.
+/// @param end when it wants requests again.
+/// @param now current time.
+void declareBackoff(declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started, Common::instant end, Common::instant now);
+
 /// @return the declarations of this start of the endpoint; null when there are none.
 const declaration* findDeclaration(const declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started);
 
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -161,6 +161,12 @@
         return endpoint.phase == Fleet::endpoint_phase::Ready && !(declared && declared->isLeaving);
     }
 
+    Common::instant backoffEndOf(const scheduler_state& state, const Fleet::endpoint& endpoint)
+    {
+        const declaration* declared = findDeclaration(state.declarations, endpoint.id, endpoint.started);
+        return declared ? declared->backoffEnd : Common::instant {};
+    }
+
     bool isEligible(const scheduler_state& state, const endpoint_state& endpoint, const placement_request& request, const placement_limits& limits)
     {
         if (endpoint.facts.service != request.service || !isReady(state, endpoint.facts))
@@ -183,7 +189,9 @@
     {
         candidate best;
         for (auto& [id, endpoint] : state.endpoints) {
-            if (!isEligible(state, endpoint, request, limits) || (!includesEjected && now < endpoint.ejectedUntil))
+            if (!isEligible(state, endpoint, request, limits) || now < backoffEndOf(state, endpoint.facts))
+                continue;
+            if (!includesEjected && now < endpoint.ejectedUntil)
                 continue;
             candidate next { &endpoint };
             next.uncachedTokens = request.model ? countUncachedTokens(endpoint, *request.model) : 0;
@@ -195,6 +203,14 @@
         return best;
     }
 
+    refusal refuseWithoutEndpoint(const scheduler_state& state, const Common::service_name& service, Common::instant now)
+    {
+        const milliseconds left = backoffLeft(state, service, now);
+        if (left.count() > 0)
+            return { refusal_reason::BackingOff, left };
+        return { refusal_reason::NoEndpoint, minRetryAfter };
+    }
+
     placement record(scheduler_state& state, const candidate& chosen, const placement_request& request, Common::instant now)
     {
         const placement_id id { ++state.lastPlacement.value };
@@ -282,7 +298,7 @@
     if (!best.endpoint)
         best = findBest(state, request, limits, true, now);
     if (!best.endpoint)
-        return tl::unexpected(refusal { refusal_reason::NoEndpoint, minRetryAfter });
+        return tl::unexpected(refuseWithoutEndpoint(state, request.service, now));
     const double left = toMs(request.deadline - now);
     if (best.predicted > left) {
         const auto excess = milliseconds(static_cast<int64_t>(best.predicted - left));
@@ -359,6 +375,20 @@
     return uncachedTokens * perToken + model.expectedOutputTokens.value_or(model.maxOutputTokens) * msPerOutputToken;
 }
 
+milliseconds backoffLeft(const scheduler_state& state, const Common::service_name& service, Common::instant now)
+{
+    std::optional<Common::instant> earliest;
+    for (const auto& [id, endpoint] : state.endpoints) {
+        if (endpoint.facts.service != service || !isReady(state, endpoint.facts))
+            continue;
+        const Common::instant end = backoffEndOf(state, endpoint.facts);
+        earliest = earliest ? std::min(*earliest, end) : end;
+    }
+    if (!earliest || *earliest <= now)
+        return milliseconds(0);
+    return std::chrono::ceil<milliseconds>(*earliest - now);
+}
+
 bool hasEndpoint(const scheduler_state& state, const Common::service_name& service)
 {
     return std::any_of(state.endpoints.begin(), state.endpoints.end(), [&](const auto& entry) {
@@ -371,6 +401,8 @@
     switch (reason) {
     case refusal_reason::NoEndpoint:
         return "no_endpoint";
+    case refusal_reason::BackingOff:
+        return "backing_off";
     case refusal_reason::TooLate:
         return "too_late";
     case refusal_reason::PromptPartQuarantined:
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -88,6 +88,7 @@
 
 enum class refusal_reason {
     NoEndpoint, ///< No endpoint of the service is known or allowed.
+    BackingOff, ///< No endpoint wants requests now.
     TooLate, ///< No endpoint is predicted to begin before the deadline.
     PromptPartQuarantined, ///< Endpoints went down under a part of the prompt.
 };
@@ -145,6 +146,12 @@
 /// @return engine time that the request takes, in milliseconds.
 double engineMs(const scheduler_state& state, const Common::service_name& service, double uncachedTokens, const model_request& model);
 
+/// @param state the endpoints.
+/// @param service any service.
+/// @param now current time.
+/// @return how long no endpoint of the service wants requests; zero if one wants them now or if none is ready.
+milliseconds backoffLeft(const scheduler_state& state, const Common::service_name& service, Common::instant now);
+
 /// @return whether any endpoint of the service is ready.
 bool hasEndpoint(const scheduler_state& state, const Common::service_name& service);
 
--- a/Source/Core/Scheduling/Tests/DeclarationsTest.cpp
+++ b/Source/Core/Scheduling/Tests/DeclarationsTest.cpp
@@ -53,6 +53,23 @@
     CHECK(declareLeaving(declarations, endpoint, { 6 }, at(3)));
 }
 
+TEST(Declarations, AShorterBackoffDoesNotEndALongerOneOfTheSameStart)
+{
+    struct row {
+        int64_t secondStart;
+        int secondEnd;
+        int end; ///< What holds for the newest start.
+    };
+    const row rows[] = { { 5, 900, 900 }, { 5, 300, 700 }, { 6, 300, 300 } };
+    for (const row& item : rows) {
+        declaration_map declarations;
+        declareBackoff(declarations, endpoint, { 5 }, at(700), at(0));
+        declareBackoff(declarations, endpoint, { item.secondStart }, at(item.secondEnd), at(100));
+        const declaration* found = findDeclaration(declarations, endpoint, { item.secondStart });
+        CHECK(found && found->backoffEnd == at(item.end));
+    }
+}
+
 TEST(Declarations, TheOldestIsDroppedWhenThereAreTooMany)
 {
     declaration_map declarations;
--- a/Source/Core/Scheduling/Tests/SchedulerTest.cpp
+++ b/Source/Core/Scheduling/Tests/SchedulerTest.cpp
@@ -190,6 +190,43 @@
     CHECK(!hasEndpoint(state, { "s" }));
 }
 
+TEST(Scheduler, AnEndpointInBackoffGetsNoRequestEvenIfAllOthersAreEjectedOrAvoided)
+{
+    struct row {
+        const char* condition;
+        std::vector<int> backoffEnds; ///< Of endpoints e0, e1 and so on; zero: it wants requests.
+        bool isOtherEjected; ///< Those that want requests are ejected.
+        std::set<Common::endpoint_id> avoided;
+        const char* chosen; ///< Empty: none.
+        refusal expected;
+    };
+    const row rows[] = {
+        { "one of two", { 900, 0 }, false, {}, "e1", {} },
+        { "the other one is ejected", { 900, 0 }, true, {}, "e1", {} },
+        { "all", { 900, 700 }, false, {}, "", { refusal_reason::BackingOff, milliseconds(600) } },
+        { "all, the first one tried before", { 900, 1100 }, false, { { "e0" } }, "", { refusal_reason::BackingOff, milliseconds(800) } },
+        { "the other one was tried before", { 900, 0 }, false, { { "e1" } }, "", { refusal_reason::NoEndpoint, milliseconds(200) } },
+        { "ended", { 100 }, false, {}, "e0", {} },
+    };
+    for (const row& item : rows) {
+        std::vector<Fleet::endpoint> endpoints;
+        for (size_t index = 0; index < item.backoffEnds.size(); ++index)
+            endpoints.push_back(makeEndpoint(("e" + std::to_string(index)).c_str(), "a"));
+        scheduler_state state = makeState(endpoints);
+        for (size_t index = 0; index < endpoints.size(); ++index) {
+            if (item.backoffEnds[index] > 0)
+                declareBackoff(state.declarations, endpoints[index].id, endpoints[index].started, at(item.backoffEnds[index]), at(0));
+            else if (item.isOtherEjected)
+                state.endpoints.at(endpoints[index].id).ejectedUntil = at(1000);
+        }
+        placement_limits limits;
+        limits.avoided = item.avoided;
+        const auto placed = place(state, { { "s" }, {}, at(100), at(5000) }, limits, at(100));
+        STRCMP_EQUAL_TEXT(item.chosen, placed ? placed->endpoint.value.c_str() : "", item.condition);
+        CHECK_TEXT(placed || (placed.error().reason == item.expected.reason && placed.error().retryAfter == item.expected.retryAfter), item.condition);
+    }
+}
+
 TEST(Scheduler, ARestartResetsThePromptCache)
 {
     scheduler_state state = makeState({ makeEndpoint("1", "a") });
