Tests: a stream that ends with its connection is complete only after a whole event

No fault was found: the program behaved so already, for plain responses too (PlatformGateway TheStatusSaysWhether..., rows without length). What was missing were rows for streams without length or chunks: closed after a whole event (complete, chunked towards the caller), inside one, before its blank line, reset (not complete), continued at another endpoint, inside the first event (502).

Not told apart, on the wire either: an endpoint that closes in order between two events has ended its stream.

--- a/Tests/Platform/GatewayTest.cpp
+++ b/Tests/Platform/GatewayTest.cpp
@@ -25,6 +25,19 @@
     return count;
 }
 
+/// @return the text of a chunked body, as far as its chunks are complete.
+std::string textOfChunks(const std::string& answer)
+{
+    std::string text;
+    size_t at = answer.find("\r\n\r\n") + 4;
+    for (size_t end = answer.find("\r\n", at); end != std::string::npos; end = answer.find("\r\n", at)) {
+        const size_t size = std::stoul(answer.substr(at, end - at), nullptr, 16);
+        text += answer.substr(end + 2, size);
+        at = end + 2 + size + 2;
+    }
+    return text;
+}
+
 } // namespace
 
 TEST_GROUP(PlatformGateway) {};
@@ -136,6 +149,54 @@
     }
 }
 
+TEST(PlatformGateway, AStreamThatEndsWithItsConnectionIsCompleteOnlyAfterAWholeEvent)
+{
+    const std::string head = answerHead + "Content-Type: text/event-stream\r\n\r\n";
+    const std::string one = "id: 1\ndata: a\n\n";
+    const std::string two = "id: 2\ndata: b\n\n";
+    const std::string lastChunk = "0\r\n\r\n";
+    struct row {
+        const char* condition;
+        const char* target;
+        scripted_answer first;
+        scripted_answer second; ///< Of the next endpoint.
+        std::string received; ///< What follows the head of the response to the caller, without the framing of chunks.
+        bool isComplete;
+        size_t arrivals;
+    };
+    const scripted_answer unused { completeAnswer };
+    const row rows[] = {
+        { "closed after a whole event", "/stream/x", { head + one + two, answer_end::Close }, unused, one + two, true, 1 },
+        { "closed inside an event", "/stream/x", { head + one + "id: 2\nda", answer_end::Close }, unused, one, false, 1 },
+        { "closed before the blank line", "/stream/x", { head + one + "id: 2\ndata: b\n", answer_end::Close }, unused, one, false, 1 },
+        { "reset inside an event", "/stream/x", { head + one + "id: 2\nda", answer_end::Reset }, unused, one, false, 1 },
+        { "reset after a whole event", "/stream/x", { head + one + two, answer_end::Reset }, unused, one + two, false, 1 },
+        { "closed after a whole event, resumable", "/resume/x", { head + one + two, answer_end::Close }, unused, one + two, true, 1 },
+        { "continued after a close inside an event", "/resume/x", { head + one + "id: 2\nda", answer_end::Close }, { head + two, answer_end::Close }, one + two, true, 2 },
+        { "continued, chunked", "/resume/x", { head + one + "id: 2\nda", answer_end::Close }, { streamHead + chunk(two) + lastChunk }, one + two, true, 2 },
+        { "continued, and closed inside an event again", "/resume/x", { head + one + "id: 2\nda", answer_end::Close }, { head + "id: 2\ndata", answer_end::Close }, one, false, 2 },
+        { "closed inside the first event", "/stream/x", { head + "id: 1\nda", answer_end::Close }, unused, "", false, 1 },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { item.first }, { item.second } });
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest(item.target));
+        const std::string answer = caller.receive();
+        CHECK_EQUAL_TEXT(item.arrivals, gateway.arrivals(), item.condition);
+        // A reset may discard what was sent before it.
+        const bool mayLackBytes = item.first.end == answer_end::Reset;
+        if (item.received.empty() || (mayLackBytes && statusOf(answer) != 200)) {
+            CHECK_EQUAL_TEXT(502, statusOf(answer), item.condition);
+            continue;
+        }
+        CHECK_EQUAL_TEXT(200, statusOf(answer), item.condition);
+        CHECK_TEXT(answer.find("Transfer-Encoding: chunked\r\n") != std::string::npos, item.condition);
+        CHECK_EQUAL_TEXT(item.isComplete, isComplete(answer), item.condition);
+        const std::string received = textOfChunks(answer);
+        CHECK_TEXT(mayLackBytes ? item.received.starts_with(received) : received == item.received, item.condition);
+    }
+}
+
 TEST(PlatformGateway, AmbiguousRequestsAreRejectedWithoutForwarding)
 {
     const std::string hidden = "POST /once/hidden HTTP/1.1\r\nHost: h.example\r\nX-Filbertreel-Attempt-Id: id9\r\n\r\n";
