Soak: a node that has not begun gets no SIGHUP; the message of an ended process has its wait status

The wait status is 0x1: ended by SIGHUP's default action. The plan restarted the node and in the same step drew settings_renewed, so that the signal came before the program's first line, which blocks it.

The settings file is still replaced.

--- a/Tests/Faults/SoakPlan.cpp
+++ b/Tests/Faults/SoakPlan.cpp
@@ -98,7 +98,8 @@
         const proxied_node& proxied = nodeAt(world, index);
         constexpr const char* variants[] = { "some.new=1\n", "bounds.drainMs=soon\n", "" };
         proxied.node->writeSettings(variants[detail % std::size(variants)]);
-        if (detail % 2 == 0)
+        // A process that has not begun doesn't block signals yet and would be ended by this one.
+        if (detail % 2 == 0 && proxied.node->hasBegun())
             Harness::signalProcess(nodeAt(world, index).node->child, SIGHUP);
     }
 
--- a/Tests/Faults/SoakWorld.cpp
+++ b/Tests/Faults/SoakWorld.cpp
@@ -89,7 +89,7 @@
     for (const auto& proxied : world.nodes) {
         if (!proxied->shouldBeRunning || Harness::isRunning(proxied->node->child))
             continue;
-        world.checker.recordBreach("ENDED", fmt::format("process of node {} ended although it was not stopped", proxied->number));
+        world.checker.recordBreach("ENDED", fmt::format("process of node {} ended although it was not stopped: wait status {:#x}", proxied->number, proxied->node->child.waitStatus));
         proxied->shouldBeRunning = false;
     }
 }
