Soak: endpoints say that they leave and for how long they want no requests; the checker holds nodes to it

A leaving endpoint says so in all its answers, every second one only there; a full one answers 503 with Retry-After. PromiseChecker reports a request sent later than drainMs after its node had passed on that the endpoint leaves, and a third request in the time of a Retry-After; excused by a restart or freeze of the node, the second also by a disturbance of the endpoint's link. Two new outcome counts tell whether a run had such answers.

Of the endpoints that misbehave more than four in ten are now full, by the same draw.

--- a/Tests/Faults/PromiseChecker.cpp
+++ b/Tests/Faults/PromiseChecker.cpp
@@ -19,6 +19,11 @@
     constexpr milliseconds regressionSlack { 250 };
     /// A request that was sent while the node was closing the connection breaks within this time.
     constexpr milliseconds lossSlack { 200 };
+    /// A request may be on its way to an endpoint for this long after the endpoint has refused another one.
+    constexpr milliseconds backoffSlack { 500 };
+    constexpr int maxArrivalsInBackoff = 2;
+    /// Refusals that an endpoint sends this soon after a disturbance of its link may be lost.
+    constexpr milliseconds linkSettlingTime { 200 };
     constexpr milliseconds allowanceWindow { 8000 };
     constexpr double allowanceOvershoot = 0.1;
     constexpr double allowanceSlack = 10;
@@ -40,6 +45,12 @@
         return status >= 200 && status < 300;
     }
 
+    /// @return the first id that was used at the endpoint's address: an id is followed by the number of its replacement.
+    std::string firstIdOf(const std::string& endpoint)
+    {
+        return endpoint.substr(0, endpoint.find('.'));
+    }
+
     uint64_t versionOfKey(const std::string& key)
     {
         const size_t dash = key.find('-');
@@ -102,7 +113,26 @@
 void promise_checker::recordNodeStart(int node, moment at)
 {
     const std::lock_guard guard(m_mutex);
-    m_nodes[node] = { at, 0, at };
+    m_nodes[node] = { at, 0, at, at };
+}
+
+void promise_checker::recordNodeResumed(int node, moment at)
+{
+    const std::lock_guard guard(m_mutex);
+    m_nodes[node].uninterruptedSince = at;
+}
+
+void promise_checker::recordEndpointLinkDisturbed(const std::string& endpoint, moment until)
+{
+    const std::lock_guard guard(m_mutex);
+    m_linkDisturbedUntil[firstIdOf(endpoint)] = until;
+    std::erase_if(m_backoffs, [&](const auto& entry) { return firstIdOf(entry.first.second) == firstIdOf(endpoint); });
+}
+
+bool promise_checker::isLinkSoundAt(const std::string& endpoint, moment time) const
+{
+    const auto found = m_linkDisturbedUntil.find(firstIdOf(endpoint));
+    return found == m_linkDisturbedUntil.end() || found->second < time - linkSettlingTime;
 }
 
 void promise_checker::recordDisturbance(moment at)
@@ -120,7 +150,7 @@
 void promise_checker::recordRequestSent(const work_request& request, int node, moment at)
 {
     const std::lock_guard guard(m_mutex);
-    m_requests[request.id] = { request, node, at, 0, 0, false };
+    m_requests[request.id] = { request, node, at, 0, 0, false, {} };
     m_sentAt.push_back(at);
 }
 
@@ -132,6 +162,60 @@
         m_retriedAt.push_back(at);
 }
 
+void promise_checker::recordRequestReceived(const std::string& id, const std::string& endpoint, moment at)
+{
+    const std::lock_guard guard(m_mutex);
+    const request_record& record = m_requests[id];
+    checkLeaving(record, endpoint);
+    checkBackoff(record, endpoint, at);
+}
+
+void promise_checker::recordLeavingStated(const std::string& id, const std::string& endpoint)
+{
+    const std::lock_guard guard(m_mutex);
+    m_requests[id].leavingEndpoint = endpoint;
+}
+
+/// A request that was sent before the node's last interruption may have been answered before it.
+void promise_checker::recordLeavingPassedOn(const request_record& record, moment at)
+{
+    if (record.leavingEndpoint.empty() || record.sentAt <= m_nodes[record.node].uninterruptedSince)
+        return;
+    moment& passedOnAt = m_leavingPassedOnAt.try_emplace({ record.node, record.leavingEndpoint }, at).first->second;
+    if (passedOnAt <= m_nodes[record.node].uninterruptedSince)
+        passedOnAt = at;
+}
+
+void promise_checker::checkLeaving(const request_record& record, const std::string& endpoint)
+{
+    const auto passedOn = m_leavingPassedOnAt.find({ record.node, endpoint });
+    if (passedOn == m_leavingPassedOnAt.end() || passedOn->second <= m_nodes[record.node].uninterruptedSince)
+        return;
+    if (record.sentAt > passedOn->second + drainBound)
+        add("DRAIN", fmt::format("{} reached {} from node {}, which had passed on that it leaves {} ms before the request was sent", record.request.id, endpoint, record.node, std::chrono::duration_cast<milliseconds>(record.sentAt - passedOn->second).count()));
+}
+
+void promise_checker::recordBackoffStated(const observed_backoff& backoff)
+{
+    const std::lock_guard guard(m_mutex);
+    ++m_outcomes["refusals with Retry-After"];
+    if (isLinkSoundAt(backoff.endpoint, backoff.sendBegan))
+        m_backoffs[{ m_requests[backoff.id].node, backoff.endpoint }].push_back({ backoff.sendEnded + backoffSlack, backoff.sendBegan + backoff.time });
+}
+
+void promise_checker::checkBackoff(const request_record& record, const std::string& endpoint, moment at)
+{
+    const auto found = m_backoffs.find({ record.node, endpoint });
+    if (found == m_backoffs.end())
+        return;
+    const moment uninterruptedSince = m_nodes[record.node].uninterruptedSince;
+    std::erase_if(found->second, [&](const backoff_window& window) { return window.until < at || window.from - backoffSlack <= uninterruptedSince; });
+    for (backoff_window& window : found->second) {
+        if (at > window.from && ++window.arrivals == maxArrivalsInBackoff + 1)
+            add("BUDGET", fmt::format("{} is the third request from node {} that reached {} in the time in which it wanted none", record.request.id, record.node, endpoint));
+    }
+}
+
 void promise_checker::recordRun(const observed_run& run)
 {
     const std::lock_guard guard(m_mutex);
@@ -163,6 +247,9 @@
     request_record& record = m_requests[id];
     if (answer.status > 0 && answer.id != id)
         add("MIXED", fmt::format("{} got an answer with status {} for the request id '{}'", id, answer.status, answer.id));
+    if (answer.saysLeaving)
+        recordLeavingPassedOn(record, at);
+    m_outcomes["answers with Server-Leaving"] += answer.saysLeaving ? 1 : 0;
     if (isSuccess(answer.status)) {
         checkSuccess(record, answer);
         checkKeyVersion(record, true, at);
--- a/Tests/Faults/PromiseChecker.h
+++ b/Tests/Faults/PromiseChecker.h
@@ -45,6 +45,16 @@
     std::string id; ///< Request id in the answer's headers.
     bool isSealed { false }; ///< The answer has the endpoint's X-Filbertreel-Server-Seal header.
     std::string body; ///< The part that arrived.
+    bool saysLeaving { false }; ///< The answer has the endpoint's Server-Leaving header.
+};
+
+/// A refusal with Retry-After, as observed by the endpoint that sent it.
+struct observed_backoff {
+    std::string id; ///< Of the refused request.
+    std::string endpoint;
+    milliseconds time { 0 }; ///< From Retry-After.
+    moment sendBegan;
+    moment sendEnded;
 };
 
 /// A violated guarantee.
@@ -75,6 +85,11 @@
     void recordEndpointRestored(const std::string& endpoint);
     /// Call before a new process of a node starts.
     void recordNodeStart(int node, moment at);
+    /// Call when a frozen node is about to go on.
+    void recordNodeResumed(int node, moment at);
+    /// Call when the link to an endpoint's address is impaired, reset or repaired.
+    /// @param until end of the disturbance; moment::max() while it goes on.
+    void recordEndpointLinkDisturbed(const std::string& endpoint, moment until);
     /// Call when an unplanned fault starts or ends.
     /// @param at when it ends; may be in the future.
     void recordDisturbance(moment at);
@@ -85,6 +100,11 @@
     void recordRequestSent(const work_request& request, int node, moment at);
     /// Call for every request that reaches an endpoint, also when it is refused there.
     void recordArrival(const std::string& id, moment at);
+    /// Call for every request that reaches the endpoint it is meant for, also when it is refused there.
+    void recordRequestReceived(const std::string& id, const std::string& endpoint, moment at);
+    /// Call before an endpoint answers a request with Server-Leaving.
+    void recordLeavingStated(const std::string& id, const std::string& endpoint);
+    void recordBackoffStated(const observed_backoff& backoff);
     /// Call when an endpoint starts to run a request.
     void recordRun(const observed_run& run);
     void recordAnswer(const std::string& id, const observed_answer& answer, moment at);
@@ -113,16 +133,32 @@
         int arrivals { 0 }; ///< At endpoints, including those that refused it.
         int runs { 0 };
         bool isRefusedAsNotRun { false }; ///< The caller got a status that guarantees that the request was not run.
+        std::string leavingEndpoint; ///< The last one that answered the request with Server-Leaving.
     };
 
     struct node_record {
         moment startedAt;
         uint64_t versionFloor { 0 }; ///< Oldest catalog version that this process can have in force.
         moment floorObservedAt; ///< When the answer that raised the floor arrived.
+        moment uninterruptedSince; ///< The newest start or end of a freeze.
+    };
+
+    /// A node and an endpoint.
+    using node_and_endpoint = std::pair<int, std::string>;
+
+    /// The time in which a node may send an endpoint two requests at most.
+    struct backoff_window {
+        moment from;
+        moment until;
+        int arrivals { 0 };
     };
 
     void add(const std::string& rule, const std::string& description);
     bool isSettledAt(moment time) const;
+    void recordLeavingPassedOn(const request_record& record, moment at);
+    void checkLeaving(const request_record& record, const std::string& endpoint);
+    void checkBackoff(const request_record& record, const std::string& endpoint, moment at);
+    bool isLinkSoundAt(const std::string& endpoint, moment time) const;
     void checkSuccess(const request_record& record, const observed_answer& answer);
     void checkKeyVersion(const request_record& record, bool isKeyAccepted, moment at);
     void checkCatalogDelay(const request_record& record, bool isKeyAccepted);
@@ -138,6 +174,9 @@
     std::map<int, node_record> m_nodes;
     std::map<uint64_t, moment> m_acknowledgedAt; ///< By catalog version.
     std::map<std::string, moment> m_drainingSince; ///< By endpoint id.
+    std::map<node_and_endpoint, moment> m_leavingPassedOnAt; ///< When the node first passed on that the endpoint leaves.
+    std::map<node_and_endpoint, std::vector<backoff_window>> m_backoffs;
+    std::map<std::string, moment> m_linkDisturbedUntil; ///< By the first id at the endpoint's address.
     uint64_t m_newestSentVersion { 0 }; ///< Of the catalog.
     std::optional<moment> m_lastDisturbance;
     std::vector<moment> m_sentAt;
--- a/Tests/Faults/PromiseCheckerTest.cpp
+++ b/Tests/Faults/PromiseCheckerTest.cpp
@@ -316,6 +316,95 @@
     }
 }
 
+TEST(PromiseChecker, RequestAfterTheNodePassedOnThatTheEndpointLeavesIsReported)
+{
+    struct row {
+        const char* description;
+        bool saysLeaving; ///< In the answer that the caller got at 10 ms.
+        int resumedAt; ///< End of a freeze of the node; zero: none.
+        int startedAt; ///< Of the node's next process; zero: none.
+        int node; ///< Of the second request.
+        const char* endpoint;
+        int sentAt;
+        const char* rules;
+    };
+    const row rows[] = {
+        { "within the bound", true, 0, 0, 1, "e1", 4000, "" },
+        { "after the bound", true, 0, 0, 1, "e1", 4100, "DRAIN" },
+        { "the caller never got the answer", false, 0, 0, 1, "e1", 4100, "" },
+        { "from another node", true, 0, 0, 2, "e1", 4100, "" },
+        { "at another endpoint", true, 0, 0, 1, "e2", 4100, "" },
+        { "frozen since", true, 500, 0, 1, "e1", 4100, "" },
+        { "restarted since", true, 0, 500, 1, "e1", 4100, "" },
+        { "the answer was on its way during a freeze", true, 6, 0, 1, "e1", 4100, "" },
+    };
+    for (const row& item : rows) {
+        promise_checker checker({});
+        checker.recordNodeStart(1, at(0));
+        checker.recordNodeStart(2, at(0));
+        const work_request first = makeRequest(work_kind::Idempotent, "c1-1");
+        checker.recordRequestSent(first, 1, at(5));
+        checker.recordRun(makeRun(first, 7));
+        checker.recordLeavingStated(first.id, "e1");
+        if (item.resumedAt > 0)
+            checker.recordNodeResumed(1, at(item.resumedAt));
+        observed_answer answer = makeAnswer(first, 200);
+        answer.saysLeaving = item.saysLeaving;
+        checker.recordAnswer(first.id, answer, at(10));
+        if (item.startedAt > 0)
+            checker.recordNodeStart(1, at(item.startedAt));
+        const work_request second = makeRequest(work_kind::Idempotent, "c1-2");
+        checker.recordRequestSent(second, item.node, at(item.sentAt));
+        checker.recordRequestReceived(second.id, item.endpoint, at(item.sentAt + 1));
+        STRCMP_EQUAL_TEXT(item.rules, rulesOf(checker).c_str(), item.description);
+    }
+}
+
+TEST(PromiseChecker, ThirdRequestInTheTimeOfARetryAfterIsReported)
+{
+    struct row {
+        const char* description;
+        std::vector<int> arrivals; ///< After a refusal at 10 ms with a Retry-After of 2 s.
+        int node;
+        const char* endpoint;
+        int resumedAt; ///< End of a freeze of the node; zero: none.
+        int linkRepairedAt; ///< End of a disturbance of the endpoint's link; zero: none.
+        const char* rules;
+    };
+    const row rows[] = {
+        { "two", { 600, 700 }, 1, "e1", 0, 0, "" },
+        { "three", { 600, 700, 2000 }, 1, "e1", 0, 0, "BUDGET" },
+        { "five are one breach", { 600, 700, 800, 900, 2000 }, 1, "e1", 0, 0, "BUDGET" },
+        { "in the first half second", { 20, 30, 40, 500, 600, 700 }, 1, "e1", 0, 0, "" },
+        { "after its end", { 600, 700, 2020, 2030 }, 1, "e1", 0, 0, "" },
+        { "from another node", { 600, 700, 800 }, 2, "e1", 0, 0, "" },
+        { "at its replacement", { 600, 700, 800 }, 1, "e1.1", 0, 0, "" },
+        { "frozen since", { 600, 700, 800 }, 1, "e1", 550, 0, "" },
+        { "the link was disturbed since", { 600, 700, 800 }, 1, "e1", 0, 550, "" },
+        { "the link was disturbed just before", { 600, 700, 800 }, 1, "e1", 0, 5, "" },
+    };
+    for (const row& item : rows) {
+        promise_checker checker({});
+        checker.recordNodeStart(1, at(0));
+        checker.recordNodeStart(2, at(0));
+        const work_request refused = makeRequest(work_kind::Idempotent, "c1-1");
+        checker.recordRequestSent(refused, 1, at(4));
+        if (item.linkRepairedAt > 0 && item.linkRepairedAt <= 10)
+            checker.recordEndpointLinkDisturbed("e1", at(item.linkRepairedAt));
+        checker.recordBackoffStated({ refused.id, "e1", milliseconds(2000), at(10), at(11) });
+        if (item.resumedAt > 0)
+            checker.recordNodeResumed(1, at(item.resumedAt));
+        if (item.linkRepairedAt > 10)
+            checker.recordEndpointLinkDisturbed("e1", at(item.linkRepairedAt));
+        for (const int arrival : item.arrivals) {
+            const work_request request = makeRequest(work_kind::Idempotent, fmt::format("c2-{}", arrival));
+            checker.recordRequestSent(request, item.node, at(arrival - 1));
+            checker.recordRequestReceived(request.id, item.endpoint, at(arrival));
+        }
+        STRCMP_EQUAL_TEXT(item.rules, rulesOf(checker).c_str(), item.description);
+    }
+}
+
 TEST(PromiseChecker, RunsOverTheAllowanceAndRetriesOverTheBudgetAreReported)
 {
     struct row {
--- a/Tests/Faults/SoakCaller.cpp
+++ b/Tests/Faults/SoakCaller.cpp
@@ -125,6 +125,7 @@
         received.answer.status = message.result_int();
         received.answer.id = headerValue(message, "X-Filbertreel-Attempt-Id");
         received.answer.isSealed = !headerValue(message, "X-Filbertreel-Server-Seal").empty();
+        received.answer.saysLeaving = !headerValue(message, "Server-Leaving").empty();
         received.answer.body = message.body();
         received.closesConnection = !message.keep_alive();
         const std::string retryAfter = headerValue(message, "Retry-After");
--- a/Tests/Faults/SoakEndpoint.cpp
+++ b/Tests/Faults/SoakEndpoint.cpp
@@ -20,6 +20,8 @@
     constexpr milliseconds processingTime { 15 };
     constexpr milliseconds eventInterval { 8 };
     constexpr int slowFactor = 12;
+    /// How long a full endpoint wants no requests.
+    constexpr milliseconds backoffTime { 1500 };
     /// Longer than the callers' longest wait (see SoakCaller.cpp).
     constexpr milliseconds unresponsiveTime { 6000 };
 
@@ -54,9 +56,9 @@
         return fmt::format("Content-Length: {}\r\n", body.size());
     }
 
-    std::string notRunAnswer(int status, const std::string& id)
+    std::string notRunAnswer(int status, const std::string& id, const std::string& moreHeaders = "")
     {
-        return responseHead(status, id, false, "X-Filbertreel-Not-Executed: 1\r\nContent-Length: 0\r\n");
+        return responseHead(status, id, false, moreHeaders + "X-Filbertreel-Not-Executed: 1\r\nContent-Length: 0\r\n");
     }
 
     std::string chunk(const std::string& bytes)
@@ -64,9 +66,9 @@
         return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
     }
 
-    std::string plainAnswer(int status, const std::string& id, const std::string& body)
+    std::string plainAnswer(int status, const std::string& id, const std::string& body, const std::string& moreHeaders = "")
     {
-        return responseHead(status, id, true, contentLengthHeader(body)) + body;
+        return responseHead(status, id, true, moreHeaders + contentLengthHeader(body)) + body;
     }
 
     template <typename message>
@@ -182,17 +184,39 @@
     const std::string id = headerValue(request, "X-Filbertreel-Attempt-Id");
     m_checker.recordArrival(id, std::chrono::steady_clock::now());
     constexpr int misdirectedRequest = 421;
-    constexpr int serviceUnavailable = 503;
     if (headerValue(request, "X-Filbertreel-Expect-Instance") != name())
         return send(socket, notRunAnswer(misdirectedRequest, id));
+    m_checker.recordRequestReceived(id, name(), std::chrono::steady_clock::now());
+    const answer_to answered = describeAnswer(id);
     if (m_behavior == endpoint_behavior::Full)
-        return send(socket, notRunAnswer(serviceUnavailable, id));
+        return refuseAsFull(socket, answered);
     m_checker.recordRun(describe(request, id));
-    return run(socket, request, id);
+    return run(socket, request, answered);
+}
+
+answer_to soak_endpoint::describeAnswer(const std::string& id)
+{
+    if (!m_isLeaving)
+        return { id, {} };
+    m_checker.recordLeavingStated(id, name());
+    return { id, "Server-Leaving: 1\r\n" };
+}
+
+bool soak_endpoint::refuseAsFull(tcp::socket& socket, const answer_to& answered)
+{
+    constexpr int serviceUnavailable = 503;
+    const std::string retryAfter = fmt::format("Retry-After: {}\r\n", std::chrono::duration<double>(backoffTime).count());
+    observed_backoff backoff { answered.id, name(), backoffTime, std::chrono::steady_clock::now(), {} };
+    const bool isSent = send(socket, notRunAnswer(serviceUnavailable, answered.id, answered.declaredLines + retryAfter));
+    backoff.sendEnded = std::chrono::steady_clock::now();
+    if (isSent)
+        m_checker.recordBackoffStated(backoff);
+    return isSent;
 }
 
-bool soak_endpoint::run(tcp::socket& socket, const request_message& request, const std::string& id)
+bool soak_endpoint::run(tcp::socket& socket, const request_message& request, const answer_to& answered)
 {
+    const std::string& id = answered.id;
     const endpoint_behavior behavior = m_behavior;
     const bool isOdd = ++m_runs % 2 == 1;
     const milliseconds time = behavior == endpoint_behavior::Slow ? processingTime * slowFactor : processingTime;
@@ -201,28 +225,29 @@
     if (behavior == endpoint_behavior::Malformed)
         return send(socket, "\x01\x02 no answer at all\r\n\r\n") && false;
     if (behavior == endpoint_behavior::Failing && isOdd)
-        return send(socket, plainAnswer(500, id, "failed"));
+        return send(socket, plainAnswer(500, id, "failed", answered.declaredLines));
     if (behavior == endpoint_behavior::WrongId && isOdd && !send(socket, plainAnswer(200, id + "-other", answerBody(id + "-other"))))
         return false;
     const endpoint_behavior effectiveBehavior = behavior == endpoint_behavior::Truncating && !isOdd ? endpoint_behavior::Healthy : behavior;
     if (isStream(kindOf({ request.target().data(), request.target().size() })))
-        return sendStream(socket, id, parseNumber(headerValue(request, "Last-Event-Id")), effectiveBehavior);
-    return sendPlain(socket, id, effectiveBehavior);
+        return sendStream(socket, answered, parseNumber(headerValue(request, "Last-Event-Id")), effectiveBehavior);
+    return sendPlain(socket, answered, effectiveBehavior);
 }
 
-bool soak_endpoint::sendPlain(tcp::socket& socket, const std::string& id, endpoint_behavior behavior)
+bool soak_endpoint::sendPlain(tcp::socket& socket, const answer_to& answered, endpoint_behavior behavior)
 {
-    const std::string response = plainAnswer(200, id, answerBody(id));
+    const std::string response = plainAnswer(200, answered.id, answerBody(answered.id), answered.declaredLines);
     if (behavior == endpoint_behavior::Truncating)
         return send(socket, response.substr(0, response.size() - 1)) && false;
     if (behavior == endpoint_behavior::ExtraAnswer)
-        return send(socket, response + plainAnswer(200, id, answerBody(id)));
+        return send(socket, response + response);
     return send(socket, response);
 }
 
-bool soak_endpoint::sendStream(tcp::socket& socket, const std::string& id, uint32_t after, endpoint_behavior behavior)
+bool soak_endpoint::sendStream(tcp::socket& socket, const answer_to& answered, uint32_t after, endpoint_behavior behavior)
 {
-    if (!send(socket, responseHead(200, id, true, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")))
+    const std::string& id = answered.id;
+    if (!send(socket, responseHead(200, id, true, answered.declaredLines + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")))
         return false;
     const uint32_t count = eventCount(id);
     for (uint32_t number = after + 1; number <= count; ++number) {
--- a/Tests/Faults/SoakEndpoint.h
+++ b/Tests/Faults/SoakEndpoint.h
@@ -22,7 +22,7 @@
 
 enum class endpoint_behavior {
     Healthy,
-    Full, ///< Refuses each request as not run.
+    Full, ///< Refuses each request as not run, and wants none for a while.
     Failing, ///< Runs each request, and answers every second one with status 500.
     Truncating, ///< Closes the connection in the middle of every second answer.
     Unresponsive, ///< Runs requests and does not answer.
@@ -35,6 +35,12 @@
 
 constexpr int endpointBehaviorCount = 10;
 
+/// What all answers to a request have in common.
+struct answer_to {
+    std::string id; ///< Of the request.
+    std::string declaredLines; ///< Header lines about the endpoint itself.
+};
+
 class soak_endpoint {
 public:
     /// @param name the endpoint's id in the store.
@@ -49,6 +55,8 @@
     /// Changes the id, as when a new process starts at the same address.
     void rename(const std::string& name);
     void setBehavior(endpoint_behavior behavior) { m_behavior = behavior; }
+    /// Sets whether the endpoint says in all its answers that it is leaving.
+    void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
 
 private:
     using request_message = boost::beast::http::request<boost::beast::http::string_body>;
@@ -63,9 +71,11 @@
     void serve(tcp::socket socket);
     /// @return whether the connection can be used for further requests; also for run(), sendPlain() and sendStream().
     bool answer(tcp::socket& socket, const request_message& request);
-    bool run(tcp::socket& socket, const request_message& request, const std::string& id);
-    bool sendPlain(tcp::socket& socket, const std::string& id, endpoint_behavior behavior);
-    bool sendStream(tcp::socket& socket, const std::string& id, uint32_t after, endpoint_behavior behavior);
+    bool run(tcp::socket& socket, const request_message& request, const answer_to& answered);
+    bool refuseAsFull(tcp::socket& socket, const answer_to& answered);
+    bool sendPlain(tcp::socket& socket, const answer_to& answered, endpoint_behavior behavior);
+    bool sendStream(tcp::socket& socket, const answer_to& answered, uint32_t after, endpoint_behavior behavior);
+    answer_to describeAnswer(const std::string& id);
     bool waitWhileOpen(tcp::socket& socket, milliseconds time) const;
     observed_run describe(const request_message& request, const std::string& id) const;
 
@@ -76,6 +86,7 @@
     tcp::acceptor m_acceptor;
     uint16_t m_port;
     std::atomic<endpoint_behavior> m_behavior { endpoint_behavior::Healthy };
+    std::atomic<bool> m_isLeaving { false };
     std::atomic<uint32_t> m_runs { 0 };
     std::atomic<bool> m_isStopping { false };
     std::vector<std::unique_ptr<connection>> m_connections;
--- a/Tests/Faults/SoakPlan.cpp
+++ b/Tests/Faults/SoakPlan.cpp
@@ -19,6 +19,10 @@
     constexpr uint32_t pauseSpreadMs = 500;
     constexpr milliseconds pollInterval { 20 };
     constexpr int stopTimeoutMs = 4000;
+    /// Random details of a fault lie below this.
+    constexpr uint32_t detailBound = 1000;
+    /// An endpoint that misbehaves is full from this detail on: real ones are full more often than they fail.
+    constexpr uint32_t firstDetailOfFull = 600;
 
     /// The component that a fault affects. Two faults never affect the same component at the same time.
     enum class fault_target {
@@ -73,7 +77,12 @@
     }
 
     void freezeNode(soak_world& world, size_t index, uint32_t) { Harness::signalProcess(nodeAt(world, index).node->child, SIGSTOP); }
-    void resumeNode(soak_world& world, size_t index) { Harness::signalProcess(nodeAt(world, index).node->child, SIGCONT); }
+
+    void resumeNode(soak_world& world, size_t index)
+    {
+        world.checker.recordNodeResumed(nodeAt(world, index).number, clock::now());
+        Harness::signalProcess(nodeAt(world, index).node->child, SIGCONT);
+    }
 
     void stopNode(soak_world& world, size_t index, uint32_t)
     {
@@ -119,22 +128,47 @@
     void impairCallerLink(soak_world& world, size_t index, uint32_t detail) { nodeAt(world, index).callerLink->setState(impairedState(detail)); }
     void restoreCallerLink(soak_world& world, size_t index) { nodeAt(world, index).callerLink->setState(link_state::Unimpaired); }
     void resetCallerLink(soak_world& world, size_t index, uint32_t) { nodeAt(world, index).callerLink->resetAll(); }
-    void impairEndpointLink(soak_world& world, size_t index, uint32_t detail) { endpointAt(world, index).link->setState(impairedState(detail)); }
-    void restoreEndpointLink(soak_world& world, size_t index) { endpointAt(world, index).link->setState(link_state::Unimpaired); }
-    void resetEndpointLink(soak_world& world, size_t index, uint32_t) { endpointAt(world, index).link->resetAll(); }
+
+    void recordLinkDisturbed(soak_world& world, size_t index, clock::time_point until)
+    {
+        world.checker.recordEndpointLinkDisturbed(endpointAt(world, index).endpoint->name(), until);
+    }
+
+    void impairEndpointLink(soak_world& world, size_t index, uint32_t detail)
+    {
+        recordLinkDisturbed(world, index, clock::time_point::max());
+        endpointAt(world, index).link->setState(impairedState(detail));
+    }
+
+    void restoreEndpointLink(soak_world& world, size_t index)
+    {
+        endpointAt(world, index).link->setState(link_state::Unimpaired);
+        recordLinkDisturbed(world, index, clock::now());
+    }
+
+    void resetEndpointLink(soak_world& world, size_t index, uint32_t)
+    {
+        endpointAt(world, index).link->resetAll();
+        recordLinkDisturbed(world, index, clock::now());
+    }
 
     // --- Endpoints
 
     void setFaultyBehavior(soak_world& world, size_t index, uint32_t detail)
     {
-        endpointAt(world, index).endpoint->setBehavior(static_cast<endpoint_behavior>(1 + detail % (endpointBehaviorCount - 1)));
+        const auto drawn = static_cast<endpoint_behavior>(1 + detail % (endpointBehaviorCount - 1));
+        endpointAt(world, index).endpoint->setBehavior(detail >= firstDetailOfFull ? endpoint_behavior::Full : drawn);
     }
 
     void setHealthyBehavior(soak_world& world, size_t index) { endpointAt(world, index).endpoint->setBehavior(endpoint_behavior::Healthy); }
 
-    void drainEndpoint(soak_world& world, size_t index, uint32_t)
+    /// Every second one says only in its own answers that it leaves.
+    void drainEndpoint(soak_world& world, size_t index, uint32_t detail)
     {
         proxied_endpoint& proxied = endpointAt(world, index);
+        proxied.endpoint->setLeaving(true);
+        if (detail % 2 == 1)
+            return;
         registerEndpoint(world, proxied, "draining");
         world.checker.recordEndpointDraining(proxied.endpoint->name(), clock::now());
     }
@@ -144,6 +178,7 @@
     {
         proxied_endpoint& proxied = endpointAt(world, index);
         world.store.remove("servers", proxied.endpoint->name());
+        proxied.endpoint->setLeaving(false);
         ++proxied.incarnation;
         const std::string name = proxied.endpoint->name();
         proxied.endpoint->rename(fmt::format("{}.{}", name.substr(0, name.find('.')), proxied.incarnation));
@@ -234,7 +269,6 @@
 
     void startFault(plan_run& run, const fault& definition, size_t index)
     {
-        constexpr uint32_t detailBound = 1000;
         const milliseconds duration(definition.minDurationMs + Common::uniformBelow(run.random, definition.durationSpreadMs));
         if (!definition.isPlanned)
             run.world.checker.recordDisturbance(clock::now() + duration);
