An endpoint known to be leaving stays so when its entry disappears and comes back

What callers could see: requests to an endpoint that leaves, from a node that knew of it, after the endpoint's entry had gone and come back as ready (an outage of the store, or a store that returns with older rows). The gateway keeps an endpoint's own word past that already; the registry, and with it the nodes that only heard of it from the store or a peer, did not.

Evidence: EndpointRegistry ALeavingStartStaysLeaving... is red on the parent at "removed by a listing".

Change: marks outlive the removal of the entry and end with another start. 4096 are kept; beyond that those of the earliest starts among the endpoints that are gone are dropped.

--- a/Source/Core/Fleet/EndpointRegistry.cpp
+++ b/Source/Core/Fleet/EndpointRegistry.cpp
@@ -7,6 +7,26 @@
 
 namespace {
 
+    void dropEarliestGoneMark(endpoint_registry& registry)
+    {
+        auto earliest = registry.leaving.end();
+        for (auto mark = registry.leaving.begin(); mark != registry.leaving.end(); ++mark) {
+            if (registry.endpoints.contains(mark->first))
+                continue;
+            if (earliest == registry.leaving.end() || mark->second < earliest->second)
+                earliest = mark;
+        }
+        if (earliest != registry.leaving.end())
+            registry.leaving.erase(earliest);
+    }
+
+    void addLeavingMark(endpoint_registry& registry, const Common::endpoint_id& id, start_time started)
+    {
+        registry.leaving[id] = started;
+        if (registry.leaving.size() > maxLeavingMarks)
+            dropEarliestGoneMark(registry);
+    }
+
     /// Keeps a known leaving mark that the listing doesn't hold yet, and records a new one.
     void applyKnownLeaving(endpoint_registry& registry, endpoint& item)
     {
@@ -14,7 +34,7 @@
         if (known != registry.leaving.end() && known->second == item.started)
             item.phase = endpoint_phase::Leaving;
         if (item.phase == endpoint_phase::Leaving)
-            registry.leaving[item.id] = item.started;
+            addLeavingMark(registry, item.id, item.started);
     }
 
     void applyEntry(endpoint_registry& registry, endpoint item, std::vector<endpoint_change>& changes)
@@ -61,7 +81,6 @@
             continue;
         }
         changes.push_back({ change_kind::Disappeared, entry->second });
-        registry.leaving.erase(entry->first);
         registry.missingSince.erase(entry->first);
         entry = registry.endpoints.erase(entry);
     }
@@ -78,7 +97,6 @@
         if (known == registry.endpoints.end())
             continue;
         changes.push_back({ change_kind::Disappeared, known->second });
-        registry.leaving.erase(id);
         registry.endpoints.erase(known);
     }
     registry.missingSince.clear();
@@ -98,7 +116,7 @@
     if (known->second.phase == endpoint_phase::Leaving)
         return {};
     known->second.phase = endpoint_phase::Leaving;
-    registry.leaving[id] = started;
+    addLeavingMark(registry, id, started);
     return endpoint_change { change_kind::BeganLeaving, known->second };
 }
 
--- a/Source/Core/Fleet/EndpointRegistry.h
+++ b/Source/Core/Fleet/EndpointRegistry.h
@@ -56,7 +56,8 @@
 
 struct endpoint_registry {
     endpoint_map endpoints;
-    /// Starts known to be leaving. A listing that arrives later may hold older data and doesn't undo this.
+    /// Starts known to be leaving, of endpoints that are gone as well: a listing that arrives later may hold older data, and
+    /// doesn't undo this.
     std::map<Common::endpoint_id, start_time> leaving;
     /// Endpoints missing from a listing, with the time of that listing; they are kept for a while after a store outage.
     std::map<Common::endpoint_id, Common::instant> missingSince;
@@ -64,6 +65,9 @@
     Common::instant missingToleratedUntil;
 };
 
+/// With more marks than this, those of the earliest starts among the endpoints that are gone are dropped.
+constexpr size_t maxLeavingMarks = 4096;
+
 /// How long after the end of a store outage an endpoint may be missing from listings without being removed.
 constexpr std::chrono::milliseconds missingEntryGrace { 2200 };
 
--- a/Source/Core/Fleet/Tests/FleetTest.cpp
+++ b/Source/Core/Fleet/Tests/FleetTest.cpp
@@ -72,6 +72,50 @@
     CHECK(registry.endpoints.begin()->second.phase == endpoint_phase::Leaving);
 }
 
+TEST(EndpointRegistry, ALeavingStartStaysLeavingWhenItsEntryDisappearsAndReturns)
+{
+    struct row {
+        const char* condition;
+        bool isMissingTolerated; ///< The entry disappears after an outage of the store.
+        int64_t returnedStart;
+        endpoint_phase phase;
+    };
+    const row rows[] = {
+        { "removed by a listing", false, 1, endpoint_phase::Leaving },
+        { "removed after an outage", true, 1, endpoint_phase::Leaving },
+        { "started again", false, 2, endpoint_phase::Ready },
+        { "started again after an outage", true, 2, endpoint_phase::Ready },
+    };
+    for (const row& item : rows) {
+        endpoint_registry registry;
+        applyListing(registry, { { makeEndpoint("e", 1) } }, at(0));
+        CHECK_TEXT(markLeaving(registry, { "e" }, { 1 }).has_value(), item.condition);
+        if (item.isMissingTolerated)
+            startMissingEntryGrace(registry, at(0));
+        applyListing(registry, {}, at(1));
+        removeExpiredMissing(registry, at(1) + missingEntryGrace);
+        CHECK_TEXT(registry.endpoints.empty(), item.condition);
+        applyListing(registry, { { makeEndpoint("e", item.returnedStart) } }, at(5000));
+        CHECK_TEXT(registry.endpoints.begin()->second.phase == item.phase, item.condition);
+    }
+}
+
+TEST(EndpointRegistry, MarksOfEndpointsThatAreGoneAreBounded)
+{
+    endpoint_registry registry;
+    const int count = static_cast<int>(maxLeavingMarks) + 10;
+    for (int number = 1; number <= count; ++number) {
+        const std::string id = "e" + std::to_string(number);
+        applyListing(registry, { { makeEndpoint("kept", 1), makeEndpoint(id.c_str(), number) } }, at(number));
+        markLeaving(registry, { "kept" }, { 1 });
+        markLeaving(registry, { id }, { number });
+    }
+    CHECK(registry.leaving.size() <= maxLeavingMarks + 1);
+    CHECK(registry.leaving.contains({ "kept" }));
+    CHECK(registry.leaving.contains({ "e" + std::to_string(count) }));
+    CHECK(!registry.leaving.contains({ "e1" }));
+}
+
 TEST(EndpointRegistry, ANoticeAboutAnEarlierStartIsIgnored)
 {
     endpoint_registry registry;
