Store: a full read that begins anew drops the pages of the one before

What could be seen: after a 410 in the middle of a full read of several pages, or a refresh requested between two pages, the read went on from the old page's last key, and the copy held pages of two moments.

Change: the state of a full read is a struct that is replaced as a whole wherever a read begins or is given up. sameRows() went: its result was never used, since a page is only applied while the copy is incomplete.

--- a/Source/Core/Store/TableWatch.cpp
+++ b/Source/Core/Store/TableWatch.cpp
@@ -14,34 +14,30 @@
         const uint32_t doublings = std::min(watch.failures, maxDoublings);
         ++watch.failures;
         watch.nextCall = now + std::min(initialRetryDelay * (1U << doublings), watch.settings.maxRetryDelay);
-        // Pages read after the failure belong to another version and must not be joined with earlier ones.
-        watch.incoming.clear();
-        watch.nextKey.clear();
+        watch.reading = {};
     }
 
-    bool sameRows(const std::map<std::string, row>& left, const std::map<std::string, row>& right)
+    void beginFullRead(table_watch& watch)
     {
-        return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const auto& first, const auto& second) {
-            return first.first == second.first && first.second.version == second.second.version;
-        });
+        watch.reading = {};
+        watch.isComplete = false;
     }
 
+    /// @return whether this was the last page.
     bool applyPage(table_watch& watch, const rows_answer& answer)
     {
         for (const row& item : answer.rows)
-            watch.incoming[item.name.key] = item;
+            watch.reading.rows[item.name.key] = item;
         if (answer.hasMore && !answer.rows.empty()) {
             // Sorts directly after the last key read.
-            watch.nextKey = answer.rows.back().name.key + '\x01';
+            watch.reading.nextKey = answer.rows.back().name.key + '\x01';
             return false;
         }
-        const bool hasChanged = !watch.isComplete || !sameRows(watch.rows, watch.incoming);
-        watch.rows = std::move(watch.incoming);
-        watch.incoming.clear();
-        watch.nextKey.clear();
+        watch.rows = std::move(watch.reading.rows);
+        watch.reading = {};
         watch.newest = answer.newest;
         watch.isComplete = true;
-        return hasChanged;
+        return true;
     }
 
     /// Sets the time of the next call after a successful one.
@@ -79,11 +75,12 @@
     if (watch.isCallPending || (now < watch.nextCall && !(watch.isRefreshRequested && !watch.isFailing)))
         return {};
     watch.isCallPending = true;
-    if (!watch.isComplete || watch.isRefreshRequested) {
+    if (watch.isRefreshRequested) {
         watch.isRefreshRequested = false;
-        watch.isComplete = false;
-        return range { watch.settings.table, "", watch.nextKey, "", 500 };
+        beginFullRead(watch);
     }
+    if (!watch.isComplete)
+        return range { watch.settings.table, "", watch.reading.nextKey, "", 500 };
     return change_query { watch.settings.table, watch.newest, watch.settings.maxWait };
 }
 
@@ -92,7 +89,7 @@
     watch_event event;
     watch.isCallPending = false;
     if (answer.outcome == call_outcome::HistoryLost) {
-        watch.isComplete = false;
+        beginFullRead(watch);
         watch.nextCall = now;
         return event;
     }
--- a/Source/Core/Store/TableWatch.h
+++ b/Source/Core/Store/TableWatch.h
@@ -22,11 +22,17 @@
     std::chrono::milliseconds maxAge { 0 };
 };
 
+/// A full read in progress. It is replaced as a whole when the read begins anew, so that no page of it is joined with
+/// pages of the next one.
+struct full_read {
+    std::map<std::string, row> rows; ///< Rows of the pages read, by key.
+    std::string nextKey; ///< Lower bound of the keys of the next page.
+};
+
 struct table_watch {
     watch_settings settings;
     std::map<std::string, row> rows; ///< By key; the table's rows have no part.
-    std::map<std::string, row> incoming; ///< Rows of a full read in progress, by key.
-    std::string nextKey; ///< Lower bound of the keys of the full read's next page.
+    full_read reading; ///< Empty while no full read is in progress.
     row_version newest; ///< Version up to which the rows are current.
     bool isComplete { false }; ///< No full read is due or in progress; the rows include all changes up to newest.
     bool isCallPending { false };
--- a/Source/Core/Store/Tests/TableWatchTest.cpp
+++ b/Source/Core/Store/Tests/TableWatchTest.cpp
@@ -118,6 +118,32 @@
     CHECK_EQUAL(2, watch.rows.size());
 }
 
+TEST(TableWatch, AFullReadBegunAnewHoldsNoPagesOfTheOneBefore)
+{
+    struct row {
+        const char* cause;
+        bool isHistoryLost;
+        bool isRefreshed;
+    };
+    const row rows[] = { { "history lost", true, false }, { "refresh", false, true } };
+    for (const row& item : rows) {
+        table_watch watch;
+        watch.settings.table = "t";
+        CHECK(requestsFullRead(watch, at(0)));
+        handleAnswer(watch, makeAnswer({ makeRow("a", 1) }, 3, true), at(0));
+        if (item.isHistoryLost) {
+            CHECK(requestsFullRead(watch, at(0)));
+            handleAnswer(watch, makeFailure(call_outcome::HistoryLost), at(0));
+        }
+        watch.isRefreshRequested = item.isRefreshed;
+        const auto first = nextQuery(watch, at(0));
+        CHECK_EQUAL_TEXT(std::string(), std::get<range>(*first).from, item.cause);
+        handleAnswer(watch, makeAnswer({ makeRow("b", 2) }, 5), at(0));
+        CHECK_EQUAL_TEXT(1, watch.rows.size(), item.cause);
+        CHECK_TEXT(watch.rows.contains("b"), item.cause);
+    }
+}
+
 TEST(TableWatch, ARefreshIsRequestedAtOnceDespiteThePauseAfterChanges)
 {
     table_watch watch = makeCompleteWatch();
