Store: a copy read in several pages has the version of its first page

What could be seen: a change to a row of an earlier page, made while later pages were read, never reached the copy.

Cause: the copy took the version of the last page, so the change counted as included.

Change: the copy's version and confirmation are those of the first page, and the changes since are queried at once. A change that a later page already held doesn't go back.

Evidence: AChangeBetweenTwoPagesOfAFullReadIsQueriedAtOnce failed before.

--- a/Source/Core/Store/TableWatch.cpp
+++ b/Source/Core/Store/TableWatch.cpp
@@ -23,9 +23,20 @@
         watch.isComplete = false;
     }
 
+    void recordConfirmation(table_watch& watch, store_time storeTime, Common::instant localTime)
+    {
+        watch.confirmedTime = storeTime;
+        watch.confirmedAt = localTime;
+    }
+
     /// @return whether this was the last page.
-    bool applyPage(table_watch& watch, const rows_answer& answer)
+    bool applyPage(table_watch& watch, const rows_answer& answer, Common::instant now)
     {
+        if (watch.reading.nextKey.empty()) {
+            watch.reading.newest = answer.newest;
+            watch.reading.readAt = answer.now;
+            watch.reading.receivedAt = now;
+        }
         for (const row& item : answer.rows)
             watch.reading.rows[item.name.key] = item;
         if (answer.hasMore && !answer.rows.empty()) {
@@ -34,8 +45,9 @@
             return false;
         }
         watch.rows = std::move(watch.reading.rows);
+        watch.newest = watch.reading.newest;
+        recordConfirmation(watch, watch.reading.readAt, watch.reading.receivedAt);
         watch.reading = {};
-        watch.newest = answer.newest;
         watch.isComplete = true;
         return true;
     }
@@ -60,6 +72,10 @@
     for (const row& item : rows) {
         if (!item.name.part.empty() || item.version <= watch.newest)
             continue;
+        // A page that was read later than the first one may hold the row's newer state.
+        const auto known = watch.rows.find(item.name.key);
+        if (known != watch.rows.end() && known->second.version >= item.version)
+            continue;
         hasChanged = true;
         if (item.isRemoved)
             watch.rows.erase(item.name.key);
@@ -107,13 +123,16 @@
     watch.isFailing = false;
     watch.failures = 0;
     event.isFullRead = !watch.isComplete;
-    event.hasChanged = watch.isComplete ? applyChanges(watch, answer.rows, answer.newest) : applyPage(watch, answer);
-    watch.isRefreshRequested = watch.isRefreshRequested || needsFullRead;
-    if (watch.isComplete) {
-        watch.confirmedAt = now;
-        watch.confirmedTime = answer.now;
+    if (event.isFullRead) {
+        event.hasChanged = applyPage(watch, answer, now);
+    } else {
+        event.hasChanged = applyChanges(watch, answer.rows, answer.newest);
+        recordConfirmation(watch, answer.now, now);
     }
+    watch.isRefreshRequested = watch.isRefreshRequested || needsFullRead;
     scheduleNext(watch, event.hasChanged, now);
+    if (watch.newest < answer.newest)
+        watch.nextCall = now;
     return event;
 }
 
--- a/Source/Core/Store/TableWatch.h
+++ b/Source/Core/Store/TableWatch.h
@@ -27,6 +27,9 @@
 struct full_read {
     std::map<std::string, row> rows; ///< Rows of the pages read, by key.
     std::string nextKey; ///< Lower bound of the keys of the next page.
+    row_version newest; ///< At the first page. Later changes, also to rows of this page, are queried afterwards.
+    store_time readAt; ///< Time of the first page by the store's clock.
+    Common::instant receivedAt; ///< Local time of the first page.
 };
 
 struct table_watch {
--- a/Source/Core/Store/Tests/TableWatchTest.cpp
+++ b/Source/Core/Store/Tests/TableWatchTest.cpp
@@ -144,6 +144,38 @@
     }
 }
 
+TEST(TableWatch, AChangeBetweenTwoPagesOfAFullReadIsQueriedAtOnce)
+{
+    struct row_in_between {
+        const char* change;
+        row changed;
+        size_t size; ///< Rows of the copy afterwards.
+    };
+    const row_in_between rows[] = {
+        { "row of the first page", makeRow("a", 5), 2 },
+        { "removed row of the first page", makeRow("a", 5, true), 1 },
+        { "row of the second page in its newer state", makeRow("b", 4), 2 },
+    };
+    for (const row_in_between& item : rows) {
+        table_watch watch;
+        watch.settings.table = "t";
+        watch.settings.maxAge = std::chrono::milliseconds(3000);
+        watch.settings.pause = std::chrono::milliseconds(500);
+        CHECK(requestsFullRead(watch, at(0)));
+        handleAnswer(watch, makeAnswer({ makeRow("a", 1) }, 3, true), at(10));
+        CHECK(requestsFullRead(watch, at(20)));
+        handleAnswer(watch, makeAnswer({ makeRow("b", 5) }, 5), at(30));
+        CHECK_TEXT(watch.confirmedAt == at(10), item.change);
+        const auto next = nextQuery(watch, at(30));
+        CHECK_TEXT(next.has_value(), item.change);
+        CHECK_EQUAL_TEXT(3, std::get<change_query>(*next).after.value, item.change);
+        handleAnswer(watch, makeAnswer({ item.changed }, 5), at(40));
+        CHECK_EQUAL_TEXT(5, watch.newest.value, item.change);
+        CHECK_EQUAL_TEXT(item.size, watch.rows.size(), item.change);
+        CHECK_EQUAL_TEXT(5, watch.rows.at("b").version.value, item.change);
+    }
+}
+
 TEST(TableWatch, ARefreshIsRequestedAtOnceDespiteThePauseAfterChanges)
 {
     table_watch watch = makeCompleteWatch();
