Store calls: answers tell the era of the store

The HTTP client hands out the headers of a response. isOutdated() says whether an answer tells of a state that a restore may have undone. Nothing uses it yet.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -50,6 +50,16 @@
         return count;
     }
 
+    std::vector<header> readHeaders(CURL* handle)
+    {
+        constexpr int lastResponse = -1;
+        std::vector<header> headers;
+        curl_header* next = nullptr;
+        while ((next = curl_easy_nextheader(handle, CURLH_HEADER, lastResponse, next)))
+            headers.push_back({ next->name, next->value });
+        return headers;
+    }
+
     void setMethod(transfer& item)
     {
         if (item.request.method == "GET")
@@ -221,6 +231,7 @@
         transfer_answer answer;
         answer.end = classify(handle, code);
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &answer.status);
+        answer.headers = readHeaders(handle);
         answer.wireBytes = countBytes(handle);
         const char* redirectUrl = nullptr;
         curl_easy_getinfo(handle, CURLINFO_REDIRECT_URL, &redirectUrl);
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -42,6 +42,7 @@
 struct transfer_answer {
     transfer_end end { transfer_end::NotSent };
     long status { 0 };
+    std::vector<header> headers; ///< Of the final response, without trailers.
     std::string body; ///< Empty when the transfer has a data handler.
     uint64_t wireBytes { 0 }; ///< Bytes of the headers and bodies of request and response.
     std::string redirectUrl; ///< Target of a redirect response, otherwise empty; redirects are not followed.
--- a/Source/Core/Store/Rows.h
+++ b/Source/Core/Store/Rows.h
@@ -12,6 +12,9 @@
 
 /// Position of a transaction in the store's total order of transactions.
 using row_version = Common::strong_type<struct row_version_tag, uint64_t>;
+/// Counts how often the store was restored from a backup that lacks some of what it had acknowledged. Versions of
+/// different eras can't be compared. Zero: the store tells no era.
+using store_era = Common::strong_type<struct store_era_tag, uint64_t>;
 /// Time of the store's own monotonic clock, in milliseconds.
 using store_time = Common::strong_type<struct store_time_tag, int64_t>;
 
@@ -59,12 +62,22 @@
 /// The answer to a query or a transaction.
 struct rows_answer {
     call_outcome outcome { call_outcome::Unknown };
+    store_era era; ///< In which the store answered.
     std::vector<row> rows;
     bool hasMore { false }; ///< The range has further rows after these.
     row_version newest; ///< The store's newest version at the answer.
     store_time now; ///< When the store answered.
 };
 
+/// @param answer an answer.
+/// @param era the newest era that is known.
+/// @return whether the answer tells of a state of the store that a restore may have undone.
+inline bool isOutdated(const rows_answer& answer, store_era era)
+{
+    const bool isDefinite = answer.outcome != call_outcome::Refused && answer.outcome != call_outcome::Unknown;
+    return isDefinite && answer.era < era;
+}
+
 /// Reads a range of keys of one part of a table.
 struct range {
     std::string table;
