A copy or relayed change of an earlier era of the store overrules nothing

What could be seen: when the store came back from an older copy, a copy whose version was given out again went on as if nothing had happened, pages of both were joined, and a relay passed on changes that the store no longer had.

Change: a table's copy knows its era. When the store tells a newer one, in any of its answers, versions and pages of the earlier one are given up and every followed table is read anew; an answer that was awaited is dropped unless it is the first page of a full read. Relayed changes tell the era (peer.proto; older programs ignore it): those of an earlier era are ignored, those of a later one make the receiver query the store. An answer that tells of an earlier era counts as an unknown outcome. Endpoints missing from the restored table are kept for the time after an outage. A first page that gets 410 is retried with the delay of a failure.

Evidence: with the new comparisons taken out, ACopyOfAnEarlierEraIsReadAnewThoughItsVersionExistsAgain, AnEraToldByAnotherCallMakesThePendingAnswerVoid, PagesOfTwoErasAreNotJoined, ALateAnswerOfAnEarlierEraIsDropped, ChangesOfAnotherEraAreNeverAppliedToACopy and ARelayDropsTheChangesOfAnEarlierEra failed.

--- a/Source/Core/Control/ControlContext.cpp
+++ b/Source/Core/Control/ControlContext.cpp
@@ -1,6 +1,7 @@
 #include "Control/ControlContext.h"
 
 #include "Common/BootClock.h"
+#include "Common/Log.h"
 #include "Common/Metrics.h"
 
 namespace Control {
@@ -9,7 +10,12 @@
 {
     Common::countMetric("filbertreel_store_calls_total");
     client.start(std::move(request), [this, onAnswer = std::move(onAnswer)](Http::transfer_answer&& answer) {
-        const Store::rows_answer parsed = settings.calls.storeAnswer(answer);
+        Store::rows_answer parsed = settings.calls.storeAnswer(answer);
+        observeEra(parsed.era);
+        if (Store::isOutdated(parsed, era)) {
+            Common::logEvent(Common::log_level::Warning, "store_answer_outdated", { { "era", parsed.era.value }, { "newest_era", era.value } });
+            parsed.outcome = Store::call_outcome::Unknown;
+        }
         if (parsed.outcome == Store::call_outcome::Done && parsed.now.value > 0)
             storeClock = store_reading { parsed.now, Common::bootClockNow() };
         if (parsed.outcome != Store::call_outcome::Done)
@@ -18,6 +24,16 @@
     });
 }
 
+void control_context::observeEra(Store::store_era told)
+{
+    if (told <= era)
+        return;
+    Common::logEvent(Common::log_level::Warning, "store_era_risen", { { "from", era.value }, { "to", told.value } });
+    era = told;
+    if (onNewEra)
+        onNewEra();
+}
+
 void control_context::commit(const Store::transaction& transaction, answer_handler onAnswer)
 {
     call(settings.calls.transaction(storeAddress(), transaction), std::move(onAnswer));
--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -162,6 +162,17 @@
         return { &operatorWatch, &endpointWatch, &nodeRows.watch, &statusWatch };
     }
 
+    // --- The era of the store
+
+    void eraRisen()
+    {
+        const Common::instant now = Common::bootClockNow();
+        for (Store::table_watch* watch : followedTables())
+            Store::beginEra(*watch, context.era, now);
+        // Entries that the backup lacks are written again by their endpoints.
+        Fleet::startMissingEntryGrace(context.endpoints, now);
+    }
+
     // --- Relaying of the tables in this zone
 
     void updateRelayRole(Common::instant now)
@@ -387,6 +398,7 @@
     self.endpointWatch.settings.table = self.context.settings.calls.endpointTable;
     self.statusWatch.settings.table = self.context.settings.calls.statusTable;
     self.nodeRows.watch.settings.table = nodeTable;
+    self.context.onNewEra = [&self] { self.eraRisen(); };
     self.updateCallIntervals();
     self.rollouts.tracker = makeRolloutTracker(self.context.settings.facts.bounds.exposureShare);
     self.context.lease.settings.self = self.context.settings.self.node;
--- a/Source/Core/Control/Tests/TableRelayTest.cpp
+++ b/Source/Core/Control/Tests/TableRelayTest.cpp
@@ -304,6 +304,64 @@
     }
 }
 
+TEST(TableRelay, ChangesOfAnotherEraAreNeverAppliedToACopy)
+{
+    struct row {
+        const char* sender;
+        uint64_t era;
+        bool hasChanged;
+        bool readsAtOnce;
+    };
+    const row rows[] = {
+        { "of the same era", 4, true, false },
+        { "of an earlier era", 3, false, false },
+        { "of a later era", 5, false, true },
+        { "without an era, by an older program", 0, false, false },
+    };
+    for (const row& item : rows) {
+        Store::table_watch watch;
+        watch.settings.table = "t";
+        watch.settings.maxAge = milliseconds(2000);
+        CHECK(Store::nextQuery(watch, at(0)).has_value());
+        Store::rows_answer answer;
+        answer.outcome = Store::call_outcome::Done;
+        answer.newest = { 5 };
+        answer.era = { 4 };
+        Store::handleAnswer(watch, answer, at(0));
+        Store::relayed_changes changes { "t", { 5 }, { 8 }, { 100 }, {}, {}, { item.era } };
+        changes.rows.push_back({ { "t", "", "a" }, "new", { 8 }, false });
+        CHECK_EQUAL_TEXT(item.hasChanged, Store::applyRelayed(watch, changes, at(100), at(100)), item.sender);
+        CHECK_EQUAL_TEXT(item.readsAtOnce, Store::nextQuery(watch, at(100)).has_value(), item.sender);
+    }
+}
+
+TEST(TableRelay, ARelayDropsTheChangesOfAnEarlierEra)
+{
+    Store::table_watch watch;
+    watch.settings.table = "t";
+    table_relay relay;
+    const auto answerNext = [&](uint64_t era, uint64_t newest, std::vector<Store::row> found, int64_t now) {
+        CHECK(Store::nextQuery(watch, at(now)).has_value());
+        Store::rows_answer answer;
+        answer.outcome = Store::call_outcome::Done;
+        answer.era = { era };
+        answer.newest = { newest };
+        answer.now = { now };
+        answer.rows = std::move(found);
+        const Store::watch_event event = Store::handleAnswer(watch, answer, at(now));
+        recordAnswer(relay, watch, answer, event, at(now));
+    };
+    answerNext(0, 5, {}, 0);
+    answerNext(0, 6, { { { "t", "", "a" }, "old", { 6 }, false } }, 10);
+    answerNext(1, 6, { { { "t", "", "b" }, "of a version given out again", { 6 }, false } }, 20);
+    CHECK(takeAnnouncements(relay, { &watch }, at(30)).empty());
+    answerNext(1, 6, { { { "t", "", "b" }, "read anew", { 6 }, false } }, 40);
+    const auto announced = takeAnnouncements(relay, { &watch }, at(50));
+    CHECK_EQUAL(1, announced.size());
+    CHECK_EQUAL(1, announced.front().era.value);
+    CHECK(announced.front().rows.empty());
+}
+
 TEST(TableRelay, ACopyThatLacksEarlierChangesReadsTheStoreInsteadOfApplyingLaterOnes)
 {
     struct row {
--- a/Source/Core/Membership/PeerCodec.cpp
+++ b/Source/Core/Membership/PeerCodec.cpp
@@ -175,6 +175,7 @@
 void encodeTableChanges(const Store::relayed_changes& item, filbertreel::peer::table_changes& record)
 {
     record.set_table(item.table);
+    record.set_era(item.era.value);
     record.set_after_version(item.after.value);
     record.set_newest_version(item.newest.value);
     record.set_confirmed_at_ms(item.confirmedAt.value);
@@ -192,6 +193,7 @@
 {
     Store::relayed_changes item;
     item.table = record.table();
+    item.era = { record.era() };
     item.after = { record.after_version() };
     item.newest = { record.newest_version() };
     item.confirmedAt = { record.confirmed_at_ms() };
--- a/Source/Core/Store/ChangeRelay.cpp
+++ b/Source/Core/Store/ChangeRelay.cpp
@@ -33,6 +33,7 @@
 {
     relayed_changes changes;
     changes.table = watch.settings.table;
+    changes.era = watch.era;
     changes.newest = watch.newest;
     changes.confirmedAt = watch.confirmedTime;
     changes.returnedAt = watch.returnedTime;
@@ -48,9 +49,9 @@
 
 bool applyRelayed(table_watch& watch, const relayed_changes& changes, Common::instant confirmedAt, Common::instant now)
 {
-    if (!watch.isComplete)
+    if (!watch.isComplete || changes.era < watch.era)
         return false;
-    if (changes.after > watch.newest) {
+    if (changes.era > watch.era || changes.after > watch.newest) {
         // While the store doesn't answer this node, its retries keep their delay.
         if (!watch.isFailing)
             watch.nextCall = std::min(watch.nextCall, now);
--- a/Source/Core/Store/ChangeRelay.h
+++ b/Source/Core/Store/ChangeRelay.h
@@ -5,7 +5,8 @@
 /// table, so that not every node has to poll the store. Pure: no clock, no socket.
 ///
 /// Changes carry the version that they follow on. A receiver that lacks earlier changes applies nothing and reads the
-/// store itself, so a lost message never leaves a gap in a copy.
+/// store itself, so a lost message never leaves a gap in a copy. Changes of an earlier era of the store are ignored; on
+/// those of a later one the receiver reads the store itself.
 
 #include "Store/TableWatch.h"
 
@@ -19,6 +20,7 @@
     store_time confirmedAt; ///< At this time there were no later changes.
     store_time returnedAt; ///< When the store last answered the sender again after an outage; zero: there was none.
     std::vector<row> rows;
+    store_era era {}; ///< To which the versions belong.
 };
 
 /// Changes that a relay has read and not sent yet.
--- a/Source/Core/Store/TableWatch.cpp
+++ b/Source/Core/Store/TableWatch.cpp
@@ -1,6 +1,7 @@
 #include "Store/TableWatch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Store {
 
@@ -64,8 +65,47 @@
             watch.nextCall = now + watch.settings.pause;
     }
 
+    pending_query kindOfNext(const table_watch& watch)
+    {
+        if (watch.isComplete)
+            return pending_query::Changes;
+        return watch.reading.nextKey.empty() ? pending_query::FirstPage : pending_query::NextPage;
+    }
+
+    watch_event handleFailure(table_watch& watch, Common::instant now)
+    {
+        watch_event event;
+        event.hasFailed = !watch.isFailing;
+        watch.isFailing = true;
+        recordFailure(watch, now);
+        return event;
+    }
+
+    /// Drops an answer that says nothing about the copy.
+    watch_event beginFullReadNow(table_watch& watch, Common::instant now)
+    {
+        beginFullRead(watch);
+        watch.nextCall = now;
+        watch_event event;
+        event.isFullRead = true;
+        return event;
+    }
+
 } // namespace
 
+void beginEra(table_watch& watch, store_era era, Common::instant now)
+{
+    if (era <= watch.era)
+        return;
+    watch.era = era;
+    watch.newest = {};
+    beginFullRead(watch);
+    if (watch.pending == pending_query::NextPage || watch.pending == pending_query::Changes)
+        watch.pending = pending_query::Outdated;
+    if (!watch.isFailing)
+        watch.nextCall = now;
+}
+
 bool applyChanges(table_watch& watch, const std::vector<row>& rows, row_version newest)
 {
     bool hasChanged = false;
@@ -88,13 +128,13 @@
 
 std::optional<watch_query> nextQuery(table_watch& watch, Common::instant now)
 {
-    if (watch.isCallPending || (now < watch.nextCall && !(watch.isRefreshRequested && !watch.isFailing)))
+    if (watch.pending != pending_query::None || (now < watch.nextCall && !(watch.isRefreshRequested && !watch.isFailing)))
         return {};
-    watch.isCallPending = true;
     if (watch.isRefreshRequested) {
         watch.isRefreshRequested = false;
         beginFullRead(watch);
     }
+    watch.pending = kindOfNext(watch);
     if (!watch.isComplete)
         return range { watch.settings.table, "", watch.reading.nextKey, "", 500 };
     return change_query { watch.settings.table, watch.newest, watch.settings.maxWait };
@@ -102,19 +142,15 @@
 
 watch_event handleAnswer(table_watch& watch, const rows_answer& answer, Common::instant now)
 {
+    beginEra(watch, answer.era, now);
+    const pending_query query = std::exchange(watch.pending, pending_query::None);
+    const bool isAnswered = answer.outcome == call_outcome::Done || answer.outcome == call_outcome::HistoryLost;
+    const bool isLostAtOnce = answer.outcome == call_outcome::HistoryLost && query == pending_query::FirstPage;
+    if (!isAnswered || isLostAtOnce || isOutdated(answer, watch.era))
+        return handleFailure(watch, now);
+    if (answer.outcome == call_outcome::HistoryLost || query == pending_query::Outdated)
+        return beginFullReadNow(watch, now);
     watch_event event;
-    watch.isCallPending = false;
-    if (answer.outcome == call_outcome::HistoryLost) {
-        beginFullRead(watch);
-        watch.nextCall = now;
-        return event;
-    }
-    if (answer.outcome != call_outcome::Done) {
-        event.hasFailed = !watch.isFailing;
-        watch.isFailing = true;
-        recordFailure(watch, now);
-        return event;
-    }
     event.hasReturned = watch.isFailing;
     if (event.hasReturned)
         watch.returnedTime = answer.now;
--- a/Source/Core/Store/TableWatch.h
+++ b/Source/Core/Store/TableWatch.h
@@ -2,7 +2,7 @@
 
 /// @file
 /// Keeps a copy of a table of the platform's store: reads all rows, then queries the changes; reads all rows again when
-/// the history of changes is lost and after an outage. No clock, no socket.
+/// the history of changes is lost, after an outage and when the store begins a new era. No clock, no socket.
 
 #include "Store/Rows.h"
 
@@ -32,13 +32,23 @@
     Common::instant receivedAt; ///< Local time of the first page.
 };
 
+/// The query whose answer is awaited.
+enum class pending_query {
+    None,
+    FirstPage, ///< Of a full read; depends on no earlier answer.
+    NextPage,
+    Changes,
+    Outdated, ///< Built on versions or pages of an earlier era; its answer is dropped.
+};
+
 struct table_watch {
     watch_settings settings;
     std::map<std::string, row> rows; ///< By key; the table's rows have no part.
     full_read reading; ///< Empty while no full read is in progress.
+    store_era era; ///< The newest that is known; the rows may still be of the one before while `isComplete` is false.
     row_version newest; ///< Version up to which the rows are current.
     bool isComplete { false }; ///< No full read is due or in progress; the rows include all changes up to newest.
-    bool isCallPending { false };
+    pending_query pending { pending_query::None };
     bool isFailing { false }; ///< The last call failed.
     bool isRefreshRequested { false }; ///< Set when a newer state is known to exist: requests a full read at once.
     uint32_t failures { 0 }; ///< Failed calls in a row.
@@ -48,6 +58,12 @@
     store_time returnedTime; ///< When the store last answered again after an outage; zero: there was none.
 };
 
+/// Gives up versions and pages of an earlier era; the next call begins a full read. The rows stay until it is finished.
+/// @param watch changed in place.
+/// @param era the era that the store has told; ignored unless newer than the watch's.
+/// @param now current time.
+void beginEra(table_watch& watch, store_era era, Common::instant now);
+
 using watch_query = std::variant<range, change_query>;
 
 /// Applies rows of a change_query's answer, or the same from a relay. Rows that the copy already includes are skipped.
@@ -67,7 +83,7 @@
     bool hasChanged { false }; ///< Changes were applied, or a full read is finished.
     bool hasReturned { false }; ///< The store answers again after a failure.
     bool hasFailed { false }; ///< The first failure after a successful call.
-    bool isFullRead { false }; ///< The answer was a page of a full read and not a list of changes.
+    bool isFullRead { false }; ///< A full read is due or in progress: the answer is no list of changes to the copy.
 };
 
 /// Applies the answer to the pending query.
--- a/Source/Core/Store/Tests/TableWatchTest.cpp
+++ b/Source/Core/Store/Tests/TableWatchTest.cpp
@@ -176,6 +176,85 @@
     }
 }
 
+namespace {
+
+rows_answer inEra(uint64_t era, rows_answer answer)
+{
+    answer.era = { era };
+    return answer;
+}
+
+} // namespace
+
+TEST(TableWatch, ACopyOfAnEarlierEraIsReadAnewThoughItsVersionExistsAgain)
+{
+    struct row_in_new_era {
+        const char* firstAnswer;
+        rows_answer answer;
+    };
+    const row_in_new_era rows[] = {
+        { "changes after a version given out again", makeAnswer({ makeRow("c", 6) }, 6) },
+        { "no changes", makeAnswer({}, 5) },
+        { "unknown version", makeFailure(call_outcome::HistoryLost) },
+    };
+    for (const row_in_new_era& item : rows) {
+        table_watch watch = makeCompleteWatch();
+        CHECK(!requestsFullRead(watch, at(1)));
+        handleAnswer(watch, inEra(1, item.answer), at(1));
+        CHECK_TEXT(watch.rows.contains("b"), item.firstAnswer);
+        CHECK_TEXT(!watch.rows.contains("c"), item.firstAnswer);
+        CHECK_TEXT(requestsFullRead(watch, at(1)), item.firstAnswer);
+        CHECK_TEXT(handleAnswer(watch, inEra(1, makeAnswer({ makeRow("a", 1) }, 3)), at(2)).hasChanged, item.firstAnswer);
+        CHECK_EQUAL_TEXT(1, watch.rows.size(), item.firstAnswer);
+        CHECK_EQUAL_TEXT(3, watch.newest.value, item.firstAnswer);
+    }
+}
+
+TEST(TableWatch, AnEraToldByAnotherCallMakesThePendingAnswerVoid)
+{
+    table_watch watch = makeCompleteWatch();
+    CHECK(!requestsFullRead(watch, at(1)));
+    beginEra(watch, { 1 }, at(1));
+    CHECK(!nextQuery(watch, at(1)).has_value());
+    CHECK(!handleAnswer(watch, inEra(1, makeAnswer({ makeRow("c", 6) }, 6)), at(2)).hasChanged);
+    CHECK_EQUAL(2, watch.rows.size());
+    CHECK(requestsFullRead(watch, at(2)));
+}
+
+TEST(TableWatch, PagesOfTwoErasAreNotJoined)
+{
+    table_watch watch;
+    watch.settings.table = "t";
+    CHECK(requestsFullRead(watch, at(0)));
+    handleAnswer(watch, makeAnswer({ makeRow("a", 1) }, 3, true), at(0));
+    CHECK(requestsFullRead(watch, at(0)));
+    CHECK(!handleAnswer(watch, inEra(1, makeAnswer({ makeRow("b", 2) }, 3)), at(0)).hasChanged);
+    const auto first = nextQuery(watch, at(0));
+    CHECK_EQUAL(std::string(), std::get<range>(*first).from);
+    handleAnswer(watch, inEra(1, makeAnswer({ makeRow("c", 2) }, 2)), at(0));
+    CHECK_EQUAL(1, watch.rows.size());
+}
+
+TEST(TableWatch, ALateAnswerOfAnEarlierEraIsDropped)
+{
+    table_watch watch = makeCompleteWatch();
+    beginEra(watch, { 2 }, at(1));
+    CHECK(requestsFullRead(watch, at(1)));
+    CHECK(!handleAnswer(watch, inEra(1, makeAnswer({ makeRow("c", 6) }, 6)), at(2)).hasChanged);
+    CHECK_EQUAL(2, watch.rows.size());
+    CHECK(!watch.isComplete);
+    CHECK(requestsFullRead(watch, at(1000)));
+}
+
+TEST(TableWatch, ANodeThatStartsInALaterEraReadsEveryTableOnce)
+{
+    table_watch watch;
+    watch.settings.table = "t";
+    CHECK(requestsFullRead(watch, at(0)));
+    CHECK(handleAnswer(watch, inEra(7, makeAnswer({ makeRow("a", 1) }, 3)), at(0)).hasChanged);
+    CHECK(!requestsFullRead(watch, at(0)));
+}
+
 TEST(TableWatch, ARefreshIsRequestedAtOnceDespiteThePauseAfterChanges)
 {
     table_watch watch = makeCompleteWatch();
