Lease: a renewal required by a late answer takes no lease from its next holder

What could be seen: (1) a former holder whose last order was refused with a newer token after it had read its successor's row wrote the lease at once, conditional on that row, and acted beside the successor. (2) When the refusal came while the row was being read, the answer to the read counted as the answer to a write, with the same effect, or a read of the node's own row allowed orders without the renewal.

Cause: requireRenewal() asked for a write whatever the state, and the kind of call in progress was told from the kind of the next one.

Change: it has no effect on a node that doesn't hold the lease, the kind of the call in progress is kept, and a node that must renew doesn't hold the lease before a write.

Evidence: ARenewalRequiredByALateAnswerNeverTakesTheLeaseFromItsNextHolder (at its first row) and ARequiredRenewalIsMadeThoughTheRowIsBeingRead failed before.

--- a/Source/Core/Lease/Lease.cpp
+++ b/Source/Core/Lease/Lease.cpp
@@ -54,11 +54,15 @@
         }
     }
 
+    bool isOwnClaim(const lease_state& state)
+    {
+        return state.lastSeen && state.lastSeen->holder == state.settings.self && state.lastSeen->nonce == state.lastNonce && state.lastNonce != 0;
+    }
+
     void updateOwnership(lease_state& state)
     {
-        const bool isOwn = state.lastSeen && state.lastSeen->holder == state.settings.self && state.lastSeen->nonce == state.lastNonce && state.lastNonce != 0;
-        state.isHeld = isOwn;
-        if (!isOwn)
+        state.isHeld = isOwnClaim(state) && !state.mustRenew;
+        if (!state.isHeld)
             return;
         state.fence = { state.version.value };
         state.heldUntil = earliestLocalTime(state.clock, state.lastSeen->until);
@@ -70,7 +74,8 @@
             state.nextCall = state.sentAt + state.settings.renewInterval;
             return;
         }
-        state.mustRead = !isLapsed(state, now);
+        const bool mayClaim = isLapsed(state, now) || (isOwnClaim(state) && state.mustRenew);
+        state.mustRead = !mayClaim;
         state.nextCall = state.mustRead ? now + state.settings.watchInterval : now;
     }
 
@@ -96,7 +101,8 @@
         return {};
     state.isCalling = true;
     state.sentAt = now;
-    if (state.mustRead)
+    state.isReading = state.mustRead;
+    if (state.isReading)
         return Store::range { leaseTable, "", leaseKey, "", 1 };
     return makeClaim(state, now);
 }
@@ -104,15 +110,15 @@
 void handleAnswer(lease_state& state, const Store::rows_answer& answer, Common::instant now)
 {
     state.isCalling = false;
-    const bool isReadAnswer = state.mustRead;
     switch (answer.outcome) {
     case Store::call_outcome::Done:
         updateClock(state, answer, now);
-        if (isReadAnswer) {
+        if (state.isReading) {
             applyRow(state, answer.rows);
         } else {
             state.version = answer.newest;
             state.lastSeen = state.claimed;
+            state.mustRenew = false;
         }
         state.mustRead = false;
         updateOwnership(state);
@@ -139,7 +145,10 @@
 
 void requireRenewal(lease_state& state, Common::instant now)
 {
+    if (!state.isHeld)
+        return;
     state.isHeld = false;
+    state.mustRenew = true;
     state.mustRead = false;
     state.nextCall = now;
 }
--- a/Source/Core/Lease/Lease.h
+++ b/Source/Core/Lease/Lease.h
@@ -52,7 +52,9 @@
     lease_record claimed; ///< Content that the last write puts into the row.
     uint64_t lastNonce { 0 }; ///< Starts at a random number, so that two processes don't use the same nonce.
     bool isCalling { false }; ///< A call to the store is in progress.
+    bool isReading { false }; ///< That call reads the row.
     bool mustRead { true }; ///< The next call reads the row instead of writing it.
+    bool mustRenew { false }; ///< The lease isn't held before a write has increased the fencing token.
     bool isResigning { false }; ///< This node no longer acquires or renews the lease.
     Common::instant nextCall; ///< Earliest time of the next call.
     Common::instant sentAt; ///< Start of the current or last call.
@@ -76,7 +78,7 @@
 bool mayAct(const lease_state& state, Common::instant now);
 
 /// Requires a renewal, which increases the fencing token, before the next order. To be called after an order was
-/// refused because of a newer token or got no answer.
+/// refused because of a newer token or got no answer. Without effect on a node that doesn't hold the lease.
 void requireRenewal(lease_state& state, Common::instant now);
 
 /// @param record content of the row.
--- a/Source/Core/Lease/Tests/LeaseTest.cpp
+++ b/Source/Core/Lease/Tests/LeaseTest.cpp
@@ -272,6 +272,54 @@
     CHECK(holders > plays * 6 / 5);
 }
 
+TEST(Lease, ARenewalRequiredByALateAnswerNeverTakesTheLeaseFromItsNextHolder)
+{
+    struct row {
+        const char* when;
+        bool isReading; ///< The first node's read is in progress when the renewal is required.
+    };
+    const row rows[] = { { "after the loss was seen", false }, { "while the row is read", true } };
+    for (const row& item : rows) {
+        one_row_store store;
+        lease_state first = makeNode("a", 100);
+        lease_state second = makeNode("b", 200);
+        callAll(first, store, 0);
+        int now = 0;
+        for (now = 100; !mayAct(second, at(now)); now += 100)
+            callAll(second, store, now);
+        const auto read = nextCall(first, at(now));
+        CHECK_TEXT(read.has_value() && std::holds_alternative<Store::range>(*read), item.when);
+        if (item.isReading)
+            requireRenewal(first, at(now));
+        handleAnswer(first, store.answer(*read, now), at(now));
+        if (!item.isReading)
+            requireRenewal(first, at(now));
+        callAll(first, store, now);
+        CHECK_TEXT(!mayAct(first, at(now)), item.when);
+        callAll(second, store, now + 1200);
+        CHECK_TEXT(mayAct(second, at(now + 1200)), item.when);
+    }
+}
+
+TEST(Lease, ARequiredRenewalIsMadeThoughTheRowIsBeingRead)
+{
+    one_row_store store;
+    lease_state node = makeNode("a", 100);
+    callAll(node, store, 0);
+    const uint64_t fence = node.fence.value;
+    const auto renewal = nextCall(node, at(1200));
+    store.answer(*renewal, 1200);
+    handleAnswer(node, {}, at(1200));
+    const auto read = nextCall(node, at(1500));
+    CHECK(std::holds_alternative<Store::range>(*read));
+    requireRenewal(node, at(1500));
+    handleAnswer(node, store.answer(*read, 1500), at(1500));
+    CHECK(!mayAct(node, at(1500)));
+    callAll(node, store, 1500);
+    CHECK(mayAct(node, at(1500)));
+    CHECK(node.fence.value > fence);
+}
+
 TEST(Lease, AnUnreadableRecordIsRejected)
 {
     for (const char* text : { "", "[]", "{}", "{\"holder\":\"a\"}", "x" })
