A store that comes back older gets node rows, usage counts and reports written again

What could be seen: rows of this node that the store had acknowledged and lost were not written again before the node learned of their loss by chance; a holder that took over, or lost and regained the lease, collected a window anew whose report was sent already but gone from the store, and could report it with other counts.

Change: when the store tells a new era, a node registers again and writes its retained usage counts again; dead nodes' rows are removed only by a complete copy's versions. A node keeps the reports that it has found or written while they can be sent, over tenures too, and writes them again as they were. A window whose report it doesn't know and that an earlier holder may have sent before it learned of the era is reported only as the store still holds it, else given up and logged: a missed window costs less than one reported twice with different counts. Windows that end around the change are collected once the nodes have had the settling time to write again. A stored report other than the known one is not sent.

Not covered: count rows of windows that were reported already are written again and stay.

Evidence: with beginEra(usage_reporter) doing nothing, AReportLostByTheStoreIsWrittenAgainAndNeverReportedOtherwise, AWindowThatMayHaveBeenSentBeforeIsReportedOnlyAsTheStoreHoldsIt, AWindowThatEndsAroundANewEraIsCollectedWhenTheCountsAreWrittenAgain and AStoredReportOtherThanTheKnownOneIsNotSent failed.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -169,6 +169,9 @@
         const Common::instant now = Common::bootClockNow();
         for (Store::table_watch* watch : followedTables())
             Store::beginEra(*watch, context.era, now);
+        beginEra(usage);
+        nodeRows.isRegistered = false;
+        nodeRows.nextRegistration = {};
         // Entries that the backup lacks are written again by their endpoints.
         Fleet::startMissingEntryGrace(context.endpoints, now);
     }
--- a/Source/Core/Control/NodeRows.cpp
+++ b/Source/Core/Control/NodeRows.cpp
@@ -63,7 +63,8 @@
 
 void removeDeadNodes(node_rows& rows)
 {
-    if (rows.isRemovingNode)
+    // The versions of an incomplete copy may be of an earlier era of the store.
+    if (rows.isRemovingNode || !rows.watch.isComplete)
         return;
     for (const Common::node_id& id : rows.deadNodes) {
         const auto known = rows.watch.rows.find(id.value);
--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -90,6 +90,108 @@
     CHECK_EQUAL(5, expectStep<send_report>(reporter, now).counts.at({ "clerks" }));
 }
 
+namespace {
+
+constexpr int64_t endOfWindow100Ms = 101 * windowMs;
+
+/// Plays the report of window 100 up to the given stage.
+usage_reporter makeReporterAt(report_stage stage, bool isSent)
+{
+    usage_reporter reporter;
+    reporter.newestAdded = Usage::window_number { 99 };
+    const int64_t now = endOfWindow100Ms + 2700;
+    const auto read = expectStep<read_counts>(reporter, now);
+    if (stage == report_stage::Collect)
+        return reporter;
+    handleCounts(reporter, read.window, makeAnswer(Store::call_outcome::Done, { makeCounts(read.window, "a", 3) }), at(now));
+    const auto record = expectStep<record_report>(reporter, now);
+    if (stage == report_stage::Record)
+        return reporter;
+    handleRecorded(reporter, record.window, makeAnswer(Store::call_outcome::Done), at(now));
+    if (isSent)
+        handleSent(reporter, expectStep<send_report>(reporter, now).window, true, at(now));
+    return reporter;
+}
+
+} // namespace
+
+TEST(UsageReporter, AReportLostByTheStoreIsWrittenAgainAndNeverReportedOtherwise)
+{
+    for (const bool isSent : { true, false }) {
+        for (const bool isNewTenure : { true, false }) {
+            usage_reporter reporter = makeReporterAt(report_stage::Send, isSent);
+            const int64_t now = endOfWindow100Ms + 3000;
+            beginEra(reporter, { now }, at(now));
+            if (isNewTenure)
+                resetReporter(reporter);
+            const auto record = isNewTenure ? expectStep<find_report>(reporter, now).window : Usage::window_number {};
+            if (isNewTenure) // The window before, of which this node knows nothing.
+                CHECK(handleFound(reporter, record, makeAnswer(Store::call_outcome::Done), at(now)));
+            const auto again = expectStep<record_report>(reporter, now);
+            CHECK_EQUAL(100, again.window.value);
+            STRCMP_EQUAL(R"({"clerks":3})", again.transaction.writes.front().value.c_str());
+            handleRecorded(reporter, again.window, makeAnswer(Store::call_outcome::Done), at(now));
+            if (isSent)
+                CHECK(!nextStep(reporter, { now }, at(now)).has_value());
+            else
+                CHECK_EQUAL(3, expectStep<send_report>(reporter, now).counts.at({ "clerks" }));
+        }
+    }
+}
+
+TEST(UsageReporter, AWindowThatMayHaveBeenSentBeforeIsReportedOnlyAsTheStoreHoldsIt)
+{
+    struct row {
+        const char* stage;
+        report_stage atRise;
+        bool isStored;
+    };
+    const row rows[] = {
+        { "counts being read, report in the store", report_stage::Collect, true },
+        { "counts being read, no report in the store", report_stage::Collect, false },
+        { "report being written, report in the store", report_stage::Record, true },
+        { "report being written, no report in the store", report_stage::Record, false },
+    };
+    for (const row& item : rows) {
+        usage_reporter reporter = makeReporterAt(item.atRise, false);
+        const int64_t now = endOfWindow100Ms + 3000;
+        beginEra(reporter, { now }, at(now));
+        // The pending step ends with an answer of the new era.
+        handleCounts(reporter, { 100 }, makeAnswer(Store::call_outcome::Done), at(now));
+        handleRecorded(reporter, { 100 }, makeAnswer(Store::call_outcome::Done), at(now));
+        const auto search = expectStep<find_report>(reporter, now);
+        std::vector<Store::row> found;
+        if (item.isStored)
+            found.push_back({ { "usage_reports", "", search.rows.from }, R"({"clerks":8})", { 8 }, false });
+        CHECK_EQUAL_TEXT(!item.isStored, handleFound(reporter, search.window, makeAnswer(Store::call_outcome::Done, found), at(now)), item.stage);
+        if (item.isStored)
+            CHECK_EQUAL_TEXT(8, expectStep<send_report>(reporter, now).counts.at({ "clerks" }), item.stage);
+        else
+            CHECK_TEXT(!nextStep(reporter, { now }, at(now)).has_value(), item.stage);
+    }
+}
+
+TEST(UsageReporter, AWindowThatEndsAroundANewEraIsCollectedWhenTheCountsAreWrittenAgain)
+{
+    usage_reporter reporter;
+    reporter.newestAdded = Usage::window_number { 99 };
+    const int64_t rise = endOfWindow100Ms + 1000;
+    beginEra(reporter, { rise }, at(rise));
+    CHECK(!nextStep(reporter, { rise + 1700 }, at(rise + 1700)).has_value());
+    CHECK_EQUAL(100, expectStep<read_counts>(reporter, rise + 2600).window.value);
+}
+
+TEST(UsageReporter, AStoredReportOtherThanTheKnownOneIsNotSent)
+{
+    usage_reporter reporter = makeReporterAt(report_stage::Send, false);
+    const int64_t now = endOfWindow100Ms + 3000;
+    beginEra(reporter, { now }, at(now));
+    const auto record = expectStep<record_report>(reporter, now);
+    const Store::row other { record.transaction.writes.front().name, R"({"clerks":4})", { 8 }, false };
+    CHECK(handleRecorded(reporter, record.window, makeAnswer(Store::call_outcome::ConditionFailed, { other }), at(now)));
+    CHECK(!nextStep(reporter, { now }, at(now)).has_value());
+}
+
 TEST(UsageReporter, AFailedStepIsRetriedWhileInTime)
 {
     const Store::call_outcome outcomes[] = { Store::call_outcome::Refused, Store::call_outcome::Unknown };
--- a/Source/Core/Control/UsageTracker.cpp
+++ b/Source/Core/Control/UsageTracker.cpp
@@ -3,6 +3,8 @@
 #include "Common/BootClock.h"
 #include "Common/Log.h"
 
+#include <utility>
+
 namespace Control {
 
 namespace {
@@ -15,6 +17,20 @@
     /// Number of windows kept after their end.
     constexpr int64_t retainedWindows = 4;
 
+    void logGivenUp(Usage::window_number window, const char* reason)
+    {
+        Common::logEvent(Common::log_level::Warning, "usage_window_given_up", { { "window", window.value }, { "reason", reason } });
+    }
+
+    void perform(usage_tracker& tracker, const find_report& step)
+    {
+        control_context& context = tracker.context;
+        context.call(context.settings.calls.rows(context.storeAddress(), step.rows), [&tracker, window = step.window](const Store::rows_answer& answer) {
+            if (handleFound(tracker.reporter, window, answer, Common::bootClockNow()))
+                logGivenUp(window, "may have been sent in an earlier era of the store");
+        });
+    }
+
     void perform(usage_tracker& tracker, const read_counts& step)
     {
         control_context& context = tracker.context;
@@ -26,7 +42,8 @@
     void perform(usage_tracker& tracker, const record_report& step)
     {
         tracker.context.commit(step.transaction, [&tracker, window = step.window](const Store::rows_answer& answer) {
-            handleRecorded(tracker.reporter, window, answer, Common::bootClockNow());
+            if (handleRecorded(tracker.reporter, window, answer, Common::bootClockNow()))
+                logGivenUp(window, "the store holds another report");
         });
     }
 
@@ -102,11 +119,21 @@
 
 } // namespace
 
+void beginEra(usage_tracker& tracker)
+{
+    tracker.counter.written.clear();
+    tracker.sender.sent.reset();
+    tracker.nextWrite = {};
+    tracker.isEraNew = true;
+}
+
 void assignRequests(usage_tracker& tracker, Common::instant now)
 {
     const auto trueNow = tracker.context.trueTime(now);
     if (!trueNow)
         return;
+    if (std::exchange(tracker.isEraNew, false))
+        beginEra(tracker.reporter, *trueNow, now);
     const auto steadyNow = std::chrono::steady_clock::now();
     for (const Usage::begun_request& request : tracker.unassigned) {
         const auto age = std::chrono::duration_cast<milliseconds>(steadyNow - request.at);
--- a/Source/Core/Control/UsageTracker.h
+++ b/Source/Core/Control/UsageTracker.h
@@ -15,6 +15,7 @@
     Usage::usage_counter counter {};
     usage_reporter reporter {};
     std::vector<Usage::begun_request> unassigned {}; ///< Not assigned to a window yet; kept until true time is known.
+    bool isEraNew { false }; ///< The store has begun a new era that the reporter doesn't know yet.
     bool isWriting { false }; ///< A write of counts is in progress.
     Common::instant nextWrite {};
     count_sender sender {}; ///< Counts that the zone's relay writes for this node.
@@ -26,7 +27,10 @@
     relayed_counts counts;
 };
 
-/// Assigns the gateway's requests to windows and counts them, once true time is known.
+/// Begins a new era of the store: counts that it had acknowledged may be gone and are written again.
+void beginEra(usage_tracker& tracker);
+
+/// Assigns the gateway's requests to windows and counts them, once true time is known. Tells the reporter of a new era.
 void assignRequests(usage_tracker& tracker, Common::instant now);
 
 /// Writes this node's counts to the store when a write is due, by way of the relay if there is one.
