Tests: the store's stand-in comes back from an older copy

backUp() and restoreCopy(): later writes are gone, their versions are given out again, the era rises by one, and a query after a version that the store doesn't have gets 410. The real program follows the operator's next manifest, registers again and never returns to an older manifest.

--- a/Tests/Platform/NodeTest.cpp
+++ b/Tests/Platform/NodeTest.cpp
@@ -98,6 +98,32 @@
     }
 }
 
+TEST(PlatformNode, AStoreRestoredFromAnOlderCopyIsReadAndWrittenAnew)
+{
+    store_stand_in store;
+    scripted_endpoint endpoint({ { completeAnswer } });
+    store.put("op", "config", makeManifest(3, "k1"));
+    store.put("servers", "i-1", makeEntry(endpoint.address()));
+    store.backUp();
+    running_node node({ .storeAddress = store.address() });
+    CHECK(eventually([&] { return node.served() == 200; }));
+    store.put("op", "config", makeManifest(5, "k2"));
+    CHECK(eventually([&] { return node.served("k2") == 200 && !store.keys("nodes").empty(); }));
+    store.restoreCopy();
+    store.put("op", "config", makeManifest(6, "k3"));
+    // The versions that the node knows are given out again before its next query.
+    for (int write = 0; write < 50; ++write)
+        store.put("other", "key", write);
+    CHECK(eventually([&] { return node.served("k3") == 200; }));
+    CHECK(eventually([&] { return !store.keys("nodes").empty(); }));
+    // An older manifest in a further copy doesn't take effect.
+    store.restoreCopy();
+    CHECK(eventually([&] { return node.log().find("\"to\":2") != std::string::npos; }));
+    std::this_thread::sleep_for(milliseconds(500));
+    CHECK_EQUAL(200, node.served("k3"));
+    CHECK_EQUAL(401, node.served("k1"));
+}
+
 TEST(PlatformNode, ADrainingOrRemovedEndpointGetsNoMoreRequests)
 {
     store_stand_in store;
--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -82,6 +82,26 @@
     m_rows[{ table, key }] = { "", ++m_version, true };
 }
 
+void store_stand_in::backUp()
+{
+    const std::lock_guard guard(m_mutex);
+    m_copiedRows = m_rows;
+    m_copiedVersion = m_version;
+}
+
+void store_stand_in::restoreCopy()
+{
+    const std::lock_guard guard(m_mutex);
+    m_rows = m_copiedRows;
+    m_version = m_copiedVersion;
+    ++m_era;
+}
+
+void store_stand_in::respond(Common::caller_token token, int status, const std::string& body)
+{
+    m_server.respond(token, status, { { "Store-Era", std::to_string(m_era) } }, body);
+}
+
 std::string store_stand_in::get(const std::string& table, const std::string& key) const
 {
     const std::lock_guard guard(m_mutex);
@@ -145,25 +165,27 @@
 {
     if (m_mode == store_mode::Silent)
         return;
-    if (m_mode == store_mode::Busy)
-        return m_server.respond(request.token, busyStatus, {}, "");
     const std::lock_guard guard(m_mutex);
+    if (m_mode == store_mode::Busy)
+        return respond(request.token, busyStatus, "");
     int status = okStatus;
     if (request.path == "/v1/rows-tx") {
         const json body = transact(json::parse(request.body), status);
-        return m_server.respond(request.token, status, {}, withVersionAndTime(body).dump());
+        return respond(request.token, status, withVersionAndTime(body).dump());
     }
     const std::string table = parameter(request, "table");
     if (request.path == "/v1/rows-get") {
         const json rows = selectRows(table, 0, false, parameter(request, "from"), parameter(request, "to"));
-        return m_server.respond(request.token, okStatus, {}, withVersionAndTime({ { "rows", rows }, { "hasMore", false } }).dump());
+        return respond(request.token, okStatus, withVersionAndTime({ { "rows", rows }, { "hasMore", false } }).dump());
     }
     if (m_mode == store_mode::ForgetHistory)
-        return m_server.respond(request.token, historyGoneStatus, {}, "{}");
+        return respond(request.token, historyGoneStatus, "{}");
     const uint64_t after = std::stoull("0" + parameter(request, "sinceRev"));
     m_server.runAfter(feedDelay, [this, table, after, token = request.token] {
         const std::lock_guard feedGuard(m_mutex);
-        m_server.respond(token, okStatus, {}, withVersionAndTime({ { "rows", selectRows(table, after, true, "", "") } }).dump());
+        if (after > m_version)
+            return respond(token, historyGoneStatus, "{}");
+        respond(token, okStatus, withVersionAndTime({ { "rows", selectRows(table, after, true, "", "") } }).dump());
     });
 }
 
--- a/Tests/Platform/StoreStandIn.h
+++ b/Tests/Platform/StoreStandIn.h
@@ -36,6 +36,10 @@
     /// Writes a row without a condition.
     void put(const std::string& table, const std::string& key, const nlohmann::json& value);
     void remove(const std::string& table, const std::string& key);
+    /// Keeps a copy of the rows, as a backup does.
+    void backUp();
+    /// Returns to the last copy: later writes are gone, their versions are given out again, and the era rises by one.
+    void restoreCopy();
     /// @return a row's value; empty when there is no such row.
     std::string get(const std::string& table, const std::string& key) const;
     /// @return the keys of a table's rows, without removed ones.
@@ -52,11 +56,15 @@
     nlohmann::json selectRows(const std::string& table, uint64_t after, bool withRemoved, const std::string& from, const std::string& to) const;
     nlohmann::json transact(const nlohmann::json& body, int& status);
     nlohmann::json withVersionAndTime(nlohmann::json body) const;
+    void respond(Common::caller_token token, int status, const std::string& body);
 
     uint16_t m_port;
     mutable std::mutex m_mutex;
     std::map<std::pair<std::string, std::string>, stored_row> m_rows;
     uint64_t m_version { 0 };
+    std::map<std::pair<std::string, std::string>, stored_row> m_copiedRows;
+    uint64_t m_copiedVersion { 0 };
+    uint64_t m_era { 0 };
     std::atomic<store_mode> m_mode { store_mode::Serve };
     Http::server m_server;
     std::thread m_thread;
