Lease: it belongs to an era of the store, and so does its fencing token

Change: the record names the era. A holder stops acting when it learns of a newer era, and acquires the lease again at once, while no other node can hold one; the others wait from when they first saw the row in that era for as long as any lease can last. A late write of a node that doesn't know the era begins that wait anew. The token is era * 2^40 + version: in era 0 as before, below 2^53 for 8191 eras and 10^12 transactions.

Bound: a process that starts after the restore and finds no row at all claims it at once; an earlier holder can overlap with it only if the copy is older than the first lease and the holder hasn't made a call since the restore. Assumed: the store's clock doesn't go back.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -169,6 +169,8 @@
         const Common::instant now = Common::bootClockNow();
         for (Store::table_watch* watch : followedTables())
             Store::beginEra(*watch, context.era, now);
+        Lease::beginEra(context.lease, context.era, now);
+        handleHolderChange();
         beginEra(usage);
         nodeRows.isRegistered = false;
         nodeRows.nextRegistration = {};
--- a/Source/Core/Lease/Lease.cpp
+++ b/Source/Core/Lease/Lease.cpp
@@ -11,6 +11,8 @@
     /// Allowance for the difference between the clocks of two nodes that determine whether a lease has lapsed.
     constexpr milliseconds clockTolerance { 200 };
     constexpr milliseconds retryDelay { 250 };
+    /// Position of the era in a fencing token.
+    constexpr uint32_t eraShift = 40;
 
     /// @return a lower bound of the store's clock at a local time.
     Store::store_time earliestStoreTime(const clock_reading& clock, Common::instant now)
@@ -24,8 +26,17 @@
         return clock.sentAt + milliseconds(time.value - clock.now.value);
     }
 
+    /// @return whether the row may be claimed although it doesn't tell who held the lease last. A late write by a node
+    /// that doesn't know the era yet begins the wait anew.
+    bool isEarlierEraOver(const lease_state& state, Common::instant now)
+    {
+        return now < state.reacquireUntil || now - state.versionSeenAt > state.settings.duration + clockTolerance;
+    }
+
     bool isLapsed(const lease_state& state, Common::instant now)
     {
+        if (state.lastSeen ? state.lastSeen->era < state.era : state.hasEraRisen)
+            return isEarlierEraOver(state, now);
         return !state.lastSeen || earliestStoreTime(state.clock, now).value > state.lastSeen->until.value + clockTolerance.count();
     }
 
@@ -35,6 +46,7 @@
         record.holder = state.settings.self;
         record.until = { earliestStoreTime(state.clock, now).value + state.settings.duration.count() };
         record.nonce = ++state.lastNonce;
+        record.era = state.era;
         state.claimed = record;
         Store::transaction claim;
         claim.conditions.push_back({ leaseRow(), state.version });
@@ -42,8 +54,9 @@
         return claim;
     }
 
-    void applyRow(lease_state& state, const std::vector<Store::row>& rows)
+    void applyRow(lease_state& state, const std::vector<Store::row>& rows, Common::instant now)
     {
+        const Store::row_version previous = state.version;
         state.lastSeen.reset();
         state.version = {};
         for (const Store::row& row : rows) {
@@ -52,11 +65,13 @@
             state.lastSeen = decodeRecord(row.value);
             state.version = row.version;
         }
+        if (state.version != previous)
+            state.versionSeenAt = now;
     }
 
     bool isOwnClaim(const lease_state& state)
     {
-        return state.lastSeen && state.lastSeen->holder == state.settings.self && state.lastSeen->nonce == state.lastNonce && state.lastNonce != 0;
+        return state.lastSeen && state.lastSeen->era == state.era && state.lastSeen->holder == state.settings.self && state.lastSeen->nonce == state.lastNonce && state.lastNonce != 0;
     }
 
     void updateOwnership(lease_state& state)
@@ -64,7 +79,7 @@
         state.isHeld = isOwnClaim(state) && !state.mustRenew;
         if (!state.isHeld)
             return;
-        state.fence = { state.version.value };
+        state.fence = makeFence(state.era, state.version);
         state.heldUntil = earliestLocalTime(state.clock, state.lastSeen->until);
     }
 
@@ -84,6 +99,12 @@
         state.clock = { answer.now, state.sentAt, now };
     }
 
+    void readNext(lease_state& state, Common::instant at)
+    {
+        state.mustRead = true;
+        state.nextCall = at;
+    }
+
 } // namespace
 
 Store::row_name leaseRow()
@@ -107,16 +128,43 @@
     return makeClaim(state, now);
 }
 
+void beginEra(lease_state& state, Store::store_era era, Common::instant now)
+{
+    if (era <= state.era)
+        return;
+    state.era = era;
+    state.hasEraRisen = state.clock.receivedAt != Common::instant {};
+    if ((state.isHeld || state.mustRenew) && now < state.heldUntil)
+        state.reacquireUntil = state.heldUntil;
+    state.isHeld = false;
+    state.mustRenew = false;
+    state.lastSeen.reset();
+    state.version = {};
+    state.versionSeenAt = now;
+    readNext(state, now);
+}
+
+fencing_token makeFence(Store::store_era era, Store::row_version version)
+{
+    return { (era.value << eraShift) + version.value };
+}
+
 void handleAnswer(lease_state& state, const Store::rows_answer& answer, Common::instant now)
 {
+    beginEra(state, answer.era, now);
     state.isCalling = false;
+    // It isn't known in which era such a write was performed.
+    const bool isClaimOfEarlierEra = !state.isReading && state.claimed.era < state.era;
+    if (isClaimOfEarlierEra || Store::isOutdated(answer, state.era))
+        return readNext(state, now + retryDelay);
     switch (answer.outcome) {
     case Store::call_outcome::Done:
         updateClock(state, answer, now);
         if (state.isReading) {
-            applyRow(state, answer.rows);
+            applyRow(state, answer.rows, now);
         } else {
             state.version = answer.newest;
+            state.versionSeenAt = now;
             state.lastSeen = state.claimed;
             state.mustRenew = false;
         }
@@ -125,16 +173,14 @@
         return scheduleNext(state, now);
     case Store::call_outcome::ConditionFailed:
         updateClock(state, answer, now);
-        applyRow(state, answer.rows);
+        applyRow(state, answer.rows, now);
         updateOwnership(state);
         return scheduleNext(state, now);
     case Store::call_outcome::HistoryLost:
     case Store::call_outcome::Refused:
     case Store::call_outcome::Unknown:
         // The write may have been applied. The read shows it by its nonce.
-        state.mustRead = true;
-        state.nextCall = now + retryDelay;
-        return;
+        return readNext(state, now + retryDelay);
     }
 }
 
@@ -155,7 +201,7 @@
 
 std::string encodeRecord(const lease_record& record)
 {
-    return nlohmann::json { { "holder", record.holder.value }, { "until", record.until.value }, { "nonce", record.nonce } }.dump();
+    return nlohmann::json { { "holder", record.holder.value }, { "until", record.until.value }, { "nonce", record.nonce }, { "era", record.era.value } }.dump();
 }
 
 std::optional<lease_record> decodeRecord(const std::string& text)
@@ -163,7 +209,7 @@
     const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
     if (!body.is_object() || !body.contains("holder") || !body.contains("until"))
         return {};
-    return lease_record { { body.value("holder", "") }, { body.value("until", int64_t { 0 }) }, body.value("nonce", uint64_t { 0 }) };
+    return lease_record { { body.value("holder", "") }, { body.value("until", int64_t { 0 }) }, body.value("nonce", uint64_t { 0 }), { body.value("era", uint64_t { 0 }) } };
 }
 
 } // namespace Lease
--- a/Source/Core/Lease/Lease.h
+++ b/Source/Core/Lease/Lease.h
@@ -4,6 +4,10 @@
 /// A lease in a row of the platform's store. Only its holder issues orders. Every renewal increases the fencing token,
 /// so a delayed order is refused after a newer one. Pure: no clock, no socket.
 ///
+/// A lease belongs to one era of the store. After a restore the row may tell an earlier lease than the last one, or none,
+/// so a lease of an earlier era says nothing about who may act. Its holder stops acting and acquires it again at once,
+/// because no other node can hold one yet; the other nodes wait for as long as it can have lasted.
+///
 /// Instants are of a clock that keeps running while the machine is suspended.
 
 #include "Store/Rows.h"
@@ -15,7 +19,7 @@
 
 using std::chrono::milliseconds;
 
-/// Increases with every renewal and every change of holder.
+/// Increases with every renewal and every change of holder, also when the store's versions go back; see makeFence().
 using fencing_token = Common::strong_type<struct fencing_token_tag, uint64_t>;
 
 struct lease_settings {
@@ -33,6 +37,7 @@
     Common::node_id holder;
     Store::store_time until; ///< End of the lease.
     uint64_t nonce { 0 }; ///< Identifies the write, so that the writer recognises it when the answer was lost.
+    Store::store_era era; ///< Known to the holder when it wrote the row.
 };
 
 /// A reading of the store's clock, taken at an unknown time between the two local instants.
@@ -45,7 +50,12 @@
 struct lease_state {
     lease_settings settings;
     std::optional<lease_record> lastSeen; ///< Last known content of the row.
+    Store::store_era era; ///< The newest that is known.
+    bool hasEraRisen { false }; ///< Since the first answer to this node.
     Store::row_version version; ///< Version of the last known row; zero when there is no row.
+    Common::instant versionSeenAt; ///< When the row was first seen in this era with this version.
+    /// Until then no other node can act, because this node held the lease in an earlier era.
+    Common::instant reacquireUntil;
     bool isHeld { false };
     fencing_token fence;
     Common::instant heldUntil; ///< Earliest local time at which the lease may end.
@@ -74,6 +84,17 @@
 /// Handles the answer to the current call.
 void handleAnswer(lease_state& state, const Store::rows_answer& answer, Common::instant now);
 
+/// Ends a lease of an earlier era.
+/// @param state changed in place.
+/// @param era the era that the store has told; ignored unless newer than the one known.
+/// @param now current local time.
+void beginEra(lease_state& state, Store::store_era era, Common::instant now);
+
+/// @param era below 2^13, so that the token stays below 2^53: JSON numbers are exact up to there.
+/// @param version of the lease's row, below 2^40.
+/// @return a token that is higher than all of earlier eras, and within an era higher for a later version.
+fencing_token makeFence(Store::store_era era, Store::row_version version);
+
 /// @return whether this node may issue an order now.
 bool mayAct(const lease_state& state, Common::instant now);
 
