Rollouts go on over a restore of the store: neither order nor status goes back

What could be seen: after the store came back older, an order that the operator wrote again began a rollout anew, since its row had another version; an order that a later one had replaced, shown by the restored copy, began a rollout too; a lost status was never written again, and a status of the copy could put an ended rollout back in progress.

Change: in a new era an order with the version and time limit known is the same order; one that was replaced earlier, with the row version it had, is ignored. The holder writes the status known here again, once. A rollout that has ended stays so until a new order.

Evidence: AnOrderWrittenAgainInANewEraDoesNotBeginAnew and AStatusLostByTheStoreIsReportedAgainOnceAndNeverGoesBack failed with each of the four parts taken out.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -172,6 +172,7 @@
         Lease::beginEra(context.lease, context.era, now);
         handleHolderChange();
         beginEra(usage);
+        beginEra(rollouts.tracker);
         nodeRows.isRegistered = false;
         nodeRows.nextRegistration = {};
         // Entries that the backup lacks are written again by their endpoints.
--- a/Source/Core/Control/RolloutRunner.cpp
+++ b/Source/Core/Control/RolloutRunner.cpp
@@ -34,12 +34,7 @@
 
     void handleReported(rollout_runner& runner, const tracked_rollout& report, const Store::rows_answer& answer)
     {
-        const auto known = runner.tracker.rollouts.find(report.order.service);
-        if (known == runner.tracker.rollouts.end())
-            return;
-        known->second.isReporting = false;
-        if (answer.outcome == Store::call_outcome::Done)
-            perform(runner, applyReportedStatus(runner.tracker, report.order.service, *report.proposed, Common::bootClockNow()));
+        perform(runner, recordReported(runner.tracker, report, answer.outcome == Store::call_outcome::Done, Common::bootClockNow()));
     }
 
 } // namespace
--- a/Source/Core/Control/RolloutTracker.cpp
+++ b/Source/Core/Control/RolloutTracker.cpp
@@ -1,5 +1,7 @@
 #include "Control/RolloutTracker.h"
 
+#include <algorithm>
+
 namespace Control {
 
 namespace {
@@ -46,6 +48,53 @@
         return Rollout::stepRollout(tracker.evaluation, Rollout::configuration_changed { std::move(config) }, toEvaluationTime(now));
     }
 
+    bool isSameOrder(const rollout_order& left, const rollout_order& right)
+    {
+        return left.to == right.to && left.time == right.time;
+    }
+
+    bool isEnded(const tracked_rollout& rollout)
+    {
+        return rollout.reported && *rollout.reported != rollout_status::InProgress;
+    }
+
+    bool wasReplaced(const rollout_tracker& tracker, const seen_order& seen)
+    {
+        const auto found = tracker.replaced.find(seen.order.service);
+        return found != tracker.replaced.end() && std::any_of(found->second.begin(), found->second.end(), [&seen](const seen_order& item) {
+            return item.version == seen.version && isSameOrder(item.order, seen.order);
+        });
+    }
+
+    /// Takes the row of an order that was written again in a new era as the order's row.
+    /// @return whether the order is known already, as the current one or as one that was replaced.
+    bool recognize(rollout_tracker& tracker, const seen_order& seen)
+    {
+        const auto known = tracker.rollouts.find(seen.order.service);
+        if (known == tracker.rollouts.end())
+            return false;
+        tracked_rollout& rollout = known->second;
+        if (!rollout.isOfEarlierEra)
+            return rollout.orderVersion == seen.version;
+        if (!isSameOrder(rollout.order, seen.order))
+            return wasReplaced(tracker, seen);
+        rollout.orderVersion = seen.version;
+        rollout.isOfEarlierEra = false;
+        return true;
+    }
+
+    void startRollout(rollout_tracker& tracker, const seen_order& seen, Common::instant now)
+    {
+        const auto known = tracker.rollouts.find(seen.order.service);
+        if (known != tracker.rollouts.end())
+            tracker.replaced[seen.order.service].push_back({ known->second.order, known->second.orderVersion });
+        tracked_rollout rollout;
+        rollout.order = seen.order;
+        rollout.orderVersion = seen.version;
+        rollout.seenAt = now;
+        tracker.rollouts[seen.order.service] = std::move(rollout);
+    }
+
     Store::row_version versionOf(const std::map<std::string, Store::row>& rows, const rollout_order& order)
     {
         for (const auto& [key, row] : rows) {
@@ -72,15 +121,22 @@
     return tracker;
 }
 
+void beginEra(rollout_tracker& tracker)
+{
+    for (auto& [service, rollout] : tracker.rollouts) {
+        rollout.isOfEarlierEra = true;
+        rollout.mustReportAgain = rollout.reported.has_value();
+    }
+}
+
 rollout_actions applyOrders(rollout_tracker& tracker, const std::vector<rollout_order>& orders, const std::map<std::string, Store::row>& operatorRows, Common::instant now)
 {
     bool hasChanged = false;
     for (const rollout_order& order : orders) {
-        const Store::row_version version = versionOf(operatorRows, order);
-        const auto known = tracker.rollouts.find(order.service);
-        if (known != tracker.rollouts.end() && known->second.orderVersion == version)
+        const seen_order seen { order, versionOf(operatorRows, order) };
+        if (recognize(tracker, seen))
             continue;
-        tracker.rollouts[order.service] = tracked_rollout { order, version, now, {}, {}, false };
+        startRollout(tracker, seen, now);
         hasChanged = true;
     }
     return hasChanged ? evaluateVersions(tracker, now) : rollout_actions {};
@@ -89,7 +145,7 @@
 rollout_actions applyReportedStatus(rollout_tracker& tracker, const Common::service_name& service, rollout_status status, Common::instant now)
 {
     const auto known = tracker.rollouts.find(service);
-    if (known == tracker.rollouts.end() || known->second.reported == status)
+    if (known == tracker.rollouts.end() || known->second.reported == status || isEnded(known->second))
         return {};
     known->second.reported = status;
     return evaluateVersions(tracker, now);
@@ -111,11 +167,10 @@
 std::optional<tracked_rollout> nextReport(rollout_tracker& tracker)
 {
     for (auto& [service, rollout] : tracker.rollouts) {
-        const bool isEnded = rollout.reported && *rollout.reported != rollout_status::InProgress;
-        if (rollout.isReporting || isEnded)
+        if (rollout.isReporting)
             continue;
-        const rollout_status wanted = rollout.proposed.value_or(rollout_status::InProgress);
-        if (rollout.reported == wanted)
+        const rollout_status wanted = isEnded(rollout) ? *rollout.reported : rollout.proposed.value_or(rollout_status::InProgress);
+        if (rollout.reported == wanted && !rollout.mustReportAgain)
             continue;
         rollout.isReporting = true;
         tracked_rollout report = rollout;
@@ -125,6 +180,18 @@
     return {};
 }
 
+rollout_actions recordReported(rollout_tracker& tracker, const tracked_rollout& report, bool isWritten, Common::instant now)
+{
+    const auto known = tracker.rollouts.find(report.order.service);
+    if (known == tracker.rollouts.end())
+        return {};
+    known->second.isReporting = false;
+    if (!isWritten)
+        return {};
+    known->second.mustReportAgain = false;
+    return applyReportedStatus(tracker, report.order.service, *report.proposed, now);
+}
+
 Rollout::attempt_observed toObservedAttempt(const Gateway::attempt_report& attempt)
 {
     Rollout::attempt_observed observed { attempt.service.value, attempt.version, { attempt.route.value }, Rollout::attempt_event::Begun };
--- a/Source/Core/Control/RolloutTracker.h
+++ b/Source/Core/Control/RolloutTracker.h
@@ -22,10 +22,20 @@
     std::optional<rollout_status> reported; ///< Status in the store.
     std::optional<rollout_status> proposed; ///< Result of this node's evaluation.
     bool isReporting { false }; ///< A write of the status is in progress.
+    bool isOfEarlierEra { false }; ///< The order's row hasn't been seen in the current era of the store.
+    bool mustReportAgain { false }; ///< The store may have lost the status.
+};
+
+/// An order as it was seen in the store.
+struct seen_order {
+    rollout_order order;
+    Store::row_version version;
 };
 
 struct rollout_tracker {
     std::map<Common::service_name, tracked_rollout> rollouts;
+    /// Orders that later ones have replaced. A restored store may show them again.
+    std::map<Common::service_name, std::vector<seen_order>> replaced;
     Rollout::rollout_state evaluation;
 };
 
@@ -36,10 +46,13 @@
 /// Actions that the caller has to perform.
 using rollout_actions = std::vector<Rollout::rollout_action>;
 
+/// Begins a new era of the store: orders that are written again go on as they are, and statuses are reported again.
+void beginEra(rollout_tracker& tracker);
+
 /// Applies the current orders, and starts those that are new.
 /// @param operatorRows rows that the orders were read from.
 rollout_actions applyOrders(rollout_tracker& tracker, const std::vector<rollout_order>& orders, const std::map<std::string, Store::row>& operatorRows, Common::instant now);
-/// Applies the status of a rollout that the store has.
+/// Applies the status of a rollout that the store has. A rollout that has ended stays so.
 rollout_actions applyReportedStatus(rollout_tracker& tracker, const Common::service_name& service, rollout_status status, Common::instant now);
 /// Passes a message to the evaluation.
 rollout_actions evaluate(rollout_tracker& tracker, Rollout::rollout_message&& message, Common::instant now);
@@ -51,6 +64,11 @@
 /// being reported until `isReporting` is reset.
 std::optional<tracked_rollout> nextReport(rollout_tracker& tracker);
 
+/// Ends a report of nextReport().
+/// @param report as returned by nextReport().
+/// @param isWritten whether the store has the status now.
+rollout_actions recordReported(rollout_tracker& tracker, const tracked_rollout& report, bool isWritten, Common::instant now);
+
 /// @param attempt an event of an attempt, reported by the gateway.
 /// @return the same event in the form that the evaluation takes.
 Rollout::attempt_observed toObservedAttempt(const Gateway::attempt_report& attempt);
--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -511,6 +511,68 @@
     CHECK(!isActive(simulation.tracker));
 }
 
+namespace {
+
+rollout_actions showOrder(rollout_tracker& tracker, const char* to, uint64_t version, int64_t now)
+{
+    const std::map<std::string, Store::row> rows { { "rollout/s", { { "op", "", "rollout/s" }, "", { version }, false } } };
+    return applyOrders(tracker, { { { "s" }, { to }, milliseconds(orderMs) } }, rows, at(now));
+}
+
+} // namespace
+
+TEST(RolloutTracker, AnOrderWrittenAgainInANewEraDoesNotBeginAnew)
+{
+    struct row {
+        const char* shown;
+        const char* to;
+        uint64_t version;
+        bool isNew;
+    };
+    const row rows[] = {
+        { "the row of before", "v3", 90, false },
+        { "written again", "v3", 85, false },
+        { "the order that it replaced, in the restored copy", "v2", 80, false },
+        { "a new order for the version before", "v2", 85, true },
+        { "a new order", "v4", 90, true },
+    };
+    for (const row& item : rows) {
+        rollout_tracker tracker = makeRolloutTracker(0.1);
+        showOrder(tracker, "v2", 80, 0);
+        showOrder(tracker, "v3", 90, 100);
+        beginEra(tracker);
+        showOrder(tracker, item.to, item.version, 5000);
+        const tracked_rollout& rollout = tracker.rollouts.begin()->second;
+        CHECK_EQUAL_TEXT(item.isNew, rollout.seenAt == at(5000), item.shown);
+        CHECK_EQUAL_TEXT(item.isNew ? item.to : std::string("v3"), rollout.order.to.value, item.shown);
+        // Once seen in the new era, a further version of the row is a new order.
+        showOrder(tracker, "v3", 95, 6000);
+        const bool wasSeen = item.isNew || std::string(item.to) == "v3";
+        CHECK_EQUAL_TEXT(wasSeen, tracker.rollouts.begin()->second.seenAt == at(6000), item.shown);
+    }
+}
+
+TEST(RolloutTracker, AStatusLostByTheStoreIsReportedAgainOnceAndNeverGoesBack)
+{
+    for (const rollout_status status : { rollout_status::InProgress, rollout_status::Completed, rollout_status::Reverted }) {
+        rollout_tracker tracker = makeRolloutTracker(0.1);
+        showOrder(tracker, "v2", 80, 0);
+        applyReportedStatus(tracker, { "s" }, status, at(0));
+        CHECK(!nextReport(tracker).has_value());
+        beginEra(tracker);
+        if (status != rollout_status::InProgress) {
+            applyReportedStatus(tracker, { "s" }, rollout_status::InProgress, at(100));
+            CHECK(!isActive(tracker));
+        }
+        const auto report = nextReport(tracker);
+        CHECK(report.has_value());
+        CHECK(report->proposed == status);
+        CHECK(!nextReport(tracker).has_value());
+        recordReported(tracker, *report, true, at(200));
+        CHECK(!nextReport(tracker).has_value());
+    }
+}
+
 TEST(RolloutTracker, ALatchOfAnotherNodeApplies)
 {
     simulated_rollout simulation;
