--- a/Tests/Faults/SoakPlan.cpp
+++ b/Tests/Faults/SoakPlan.cpp
@@ -198,6 +198,9 @@
 
     void restoreStore(soak_world& world, size_t) { world.store.setMode(store_mode::Serve); }
 
+    void backUpStore(soak_world& world, size_t, uint32_t) { world.store.backUp(); }
+    void restoreOlderStore(soak_world& world, size_t) { world.store.restoreCopy({ "op", "servers" }); }
+
     void impairCloud(soak_world& world, size_t, uint32_t detail)
     {
         constexpr cloud_mode modes[] = { cloud_mode::Busy, cloud_mode::Down, cloud_mode::LoseAnswers, cloud_mode::Late };
@@ -224,6 +227,7 @@
         { "endpoint_misbehaves", fault_target::Endpoint, false, 300, 3000, setFaultyBehavior, setHealthyBehavior },
         { "entry_unreadable", fault_target::Catalog, false, 100, 1500, writeUnreadableEntry, removeUnreadableEntry },
         { "store_harmed", fault_target::Store, false, 500, 5000, impairStore, restoreStore },
+        { "store_restored", fault_target::Store, false, 500, 4000, backUpStore, restoreOlderStore },
         { "cloud_harmed", fault_target::Cloud, false, 1000, 6000, impairCloud, restoreCloud },
     };
 
--- a/Tests/Platform/NodeTest.cpp
+++ b/Tests/Platform/NodeTest.cpp
@@ -2,13 +2,16 @@
 /// The real program against a stand-in for the platform's store: start, catalog changes, store faults, reload of the
 /// settings, shutdown.
 
+#include "Platform/CloudStandIn.h"
 #include "Platform/RunningNode.h"
 #include "Platform/ScriptedEndpoint.h"
 #include "Platform/StoreStandIn.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <map>
 #include <thread>
 
 namespace {
@@ -124,6 +127,39 @@
     CHECK_EQUAL(401, node.served("k1"));
 }
 
+TEST(PlatformNode, AfterARestoreTheDutiesGoOnWithHigherTokensAndEachWindowHasOneReport)
+{
+    constexpr uint64_t firstTokenOfNextEra = uint64_t { 1 } << 40;
+    store_stand_in store;
+    cloud_stand_in cloud;
+    scripted_endpoint endpoint({ { completeAnswer } });
+    store.put("op", "config", makeManifest(3, "k1"));
+    store.put("servers", "i-1", makeEntry(endpoint.address()));
+    const std::vector<std::string> lines { "bounds.windowS=1", "bounds.usageLateS=10" };
+    running_node first({ .name = "n1", .storeAddress = store.address(), .cloudAddress = cloud.address(), .moreLines = lines });
+    running_node second({ .name = "n2", .storeAddress = store.address(), .cloudAddress = cloud.address(), .moreLines = lines });
+    const auto countReports = [&](uint64_t lowestToken) {
+        first.served();
+        second.served();
+        const auto calls = cloud.calls();
+        return std::count_if(calls.begin(), calls.end(), [lowestToken](const duty_call& call) { return call.duty == "usage" && call.isAccepted && call.fence >= lowestToken; });
+    };
+    CHECK(eventually([&] { return countReports(0) >= 1; }));
+    store.backUp();
+    CHECK(eventually([&] { return countReports(0) >= 3; }));
+    store.restoreCopy({ "op", "servers" });
+    CHECK(eventually([&] { return countReports(firstTokenOfNextEra) >= 4; }));
+    std::map<int64_t, std::string> counts;
+    uint64_t highestToken = 0;
+    for (const duty_call& call : cloud.calls()) {
+        CHECK(call.fence >= highestToken);
+        highestToken = call.fence;
+        const json body = json::parse(call.body);
+        if (call.duty == "usage")
+            CHECK_EQUAL(body.at("counts").dump(), counts.try_emplace(body.at("windowId").get<int64_t>(), body.at("counts").dump()).first->second);
+    }
+}
+
 TEST(PlatformNode, ADrainingOrRemovedEndpointGetsNoMoreRequests)
 {
     store_stand_in store;
--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace PlatformTests {
 
@@ -89,12 +90,16 @@
     m_copiedVersion = m_version;
 }
 
-void store_stand_in::restoreCopy()
+void store_stand_in::restoreCopy(const std::set<std::string>& writtenAgain)
 {
     const std::lock_guard guard(m_mutex);
-    m_rows = m_copiedRows;
+    const auto lostRows = std::exchange(m_rows, m_copiedRows);
     m_version = m_copiedVersion;
     ++m_era;
+    for (const auto& [name, row] : lostRows) {
+        if (row.version > m_copiedVersion && writtenAgain.contains(name.first))
+            m_rows[name] = { row.value, ++m_version, row.isRemoved };
+    }
 }
 
 void store_stand_in::respond(Common::caller_token token, int status, const std::string& body)
--- a/Tests/Platform/StoreStandIn.h
+++ b/Tests/Platform/StoreStandIn.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -39,7 +40,8 @@
     /// Keeps a copy of the rows, as a backup does.
     void backUp();
     /// Returns to the last copy: later writes are gone, their versions are given out again, and the era rises by one.
-    void restoreCopy();
+    /// @param writtenAgain tables whose lost rows their writers write again at once.
+    void restoreCopy(const std::set<std::string>& writtenAgain = {});
     /// @return a row's value; empty when there is no such row.
     std::string get(const std::string& table, const std::string& key) const;
     /// @return the keys of a table's rows, without removed ones.
