--- a/Source/Core/Membership/Tests/PeerCodecTest.cpp
+++ b/Source/Core/Membership/Tests/PeerCodecTest.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Messages between nodes.
+/// Messages between nodes, also with programs that don't know all of their fields.
 
 #include "Membership/PeerCodec.h"
 
@@ -45,3 +45,17 @@
         CHECK_FALSE(decodePartStatement(record).has_value());
     }
 }
+
+TEST(PeerCodec, RelayedChangesKeepTheirEraAndHaveNoneFromAnOlderProgram)
+{
+    Store::relayed_changes sent { "t", { 5 }, { 8 }, { 100 }, { 90 }, {}, { 3 } };
+    sent.rows.push_back({ { "t", "", "a" }, "value", { 8 }, true });
+    filbertreel::peer::table_changes record;
+    Membership::encodeTableChanges(sent, record);
+    const Store::relayed_changes received = Membership::decodeTableChanges(record);
+    CHECK_EQUAL(3, received.era.value);
+    CHECK_EQUAL(8, received.newest.value);
+    CHECK(received.rows.front().isRemoved);
+    record.clear_era();
+    CHECK_EQUAL(0, Membership::decodeTableChanges(record).era.value);
+}
