--- a/Source/Core/Control/UsageReporter.h
+++ b/Source/Core/Control/UsageReporter.h
@@ -46,7 +46,7 @@
     milliseconds due { 10000 }; ///< Time after a window's end by which its report must be sent.
     std::map<Usage::window_number, window_report> pending;
     std::map<Usage::window_number, known_report> known; ///< Of the windows that can still be reported; kept over tenures.
-    std::optional<Usage::true_time> eraBegan; ///< When this node learned of the store's era; empty: there was no change.
+    std::optional<Usage::true_time> eraBegan; ///< When this node learned of the store's era; empty: the era is 0.
     Common::instant collectFrom; ///< Until then the nodes may still be writing their counts again.
     std::optional<Usage::window_number> newestAdded; ///< Newest window added to `pending`.
     std::vector<Store::row_name> obsolete; ///< Rows of reported windows, still to be removed.
