--- a/Tests/Faults/Soak.cpp
+++ b/Tests/Faults/Soak.cpp
@@ -34,6 +34,7 @@
     int callers { 8 };
     world_settings world;
     bool isTimed { false };
+    bool restoresStore { false };
     bool isPlannedOnly { false };
     std::string logFolder;
 };
@@ -83,7 +84,7 @@
     }
     std::this_thread::sleep_for(warmUpTime);
     awaitRecovery(checker, options);
-    const auto faults = runPlan(world, { options.seed, std::chrono::seconds(options.seconds), options.isPlannedOnly });
+    const auto faults = runPlan(world, { options.seed, std::chrono::seconds(options.seconds), options.restoresStore, options.isPlannedOnly });
     awaitRecovery(checker, options);
     shouldStop = true;
     for (std::thread& caller : callers)
@@ -110,6 +111,7 @@
     app.add_option("--callers", options.callers);
     app.add_option("--keep", options.logFolder, "Folder for the nodes' logs of a run with a breach");
     app.add_flag("--timed", options.isTimed, "Also check time limits; requires a machine with idle processor time");
+    app.add_flag("--store-restores", options.restoresStore, "The store is at times restored from an older copy");
     app.add_flag("--planned-only", options.isPlannedOnly, "Only planned operations: no accepted request may be lost");
     CLI11_PARSE(app, argc, argv);
     return run(options);
--- a/Tests/Faults/SoakPlan.cpp
+++ b/Tests/Faults/SoakPlan.cpp
@@ -227,7 +227,6 @@
         { "endpoint_misbehaves", fault_target::Endpoint, false, 300, 3000, setFaultyBehavior, setHealthyBehavior },
         { "entry_unreadable", fault_target::Catalog, false, 100, 1500, writeUnreadableEntry, removeUnreadableEntry },
         { "store_harmed", fault_target::Store, false, 500, 5000, impairStore, restoreStore },
-        { "store_restored", fault_target::Store, false, 500, 4000, backUpStore, restoreOlderStore },
         { "cloud_harmed", fault_target::Cloud, false, 1000, 6000, impairCloud, restoreCloud },
     };
 
@@ -236,6 +235,11 @@
     /// One in this many draws causes a power loss, while no node fault is active.
     constexpr uint32_t powerLossOneIn = 25;
 
+    /// Restores the store from a copy as old as the fault lasts. Drawn on request only, so that the seeds of earlier
+    /// failures keep their plans.
+    constexpr fault storeRestore { "store_restored", fault_target::Store, false, 500, 4000, backUpStore, restoreOlderStore };
+    constexpr uint32_t storeRestoreOneIn = 12;
+
     struct active_fault {
         const fault* definition;
         size_t index;
@@ -285,6 +289,8 @@
     {
         if (!run.settings.isPlannedOnly && !isAnyNodeFaulty(run) && Common::uniformBelow(run.random, powerLossOneIn) == 0)
             return startFault(run, powerLoss, 0);
+        if (run.settings.restoresStore && isTargetFree(run, fault_target::Store, 0) && Common::uniformBelow(run.random, storeRestoreOneIn) == 0)
+            return startFault(run, storeRestore, 0);
         const fault& definition = faults[Common::uniformBelow(run.random, std::size(faults))];
         if (run.settings.isPlannedOnly && !definition.isPlanned)
             return;
--- a/Tests/Faults/SoakPlan.h
+++ b/Tests/Faults/SoakPlan.h
@@ -15,6 +15,7 @@
 struct plan_settings {
     uint64_t seed { 1 };
     std::chrono::milliseconds duration { 20000 };
+    bool restoresStore { false }; ///< The store is at times restored from an older copy.
     bool isPlannedOnly { false }; ///< Only planned operations: restarts, drains, changes of settings and catalog.
 };
 
