Rollouts: attempts report their first event, counted by latency in both versions' evidence

The gateway now reports first events, with the scheduler's expected time before its corrections by observed latencies; evidence between nodes carries the histograms, with attempts that wait counted by the time waited. version_evidence logs them. No decision changes.

--- a/Source/Core/Control/RolloutRunner.cpp
+++ b/Source/Core/Control/RolloutRunner.cpp
@@ -22,7 +22,17 @@
             runner.outlets.sendToGateway(Gateway::version_share_update { { action.service }, ended->second.order.to, allRequests });
     }
 
-    void perform(rollout_runner& runner, const Rollout::broadcast_evidence& action) { runner.outlets.broadcastEvidence(action); }
+    nlohmann::json latencyFields(const Rollout::latency_counts& counts)
+    {
+        return { { "answered", counts.answered }, { "unanswered", counts.unanswered }, { "waiting", counts.waiting } };
+    }
+
+    void perform(rollout_runner& runner, const Rollout::broadcast_evidence& action)
+    {
+        for (const auto& [work, counts] : action.counts)
+            Common::logEvent(Common::log_level::Info, "version_evidence", { { "service", action.key.service }, { "version", action.key.version.value }, { "class", work.value }, { "new", latencyFields(counts.candidate.latencies) }, { "old", latencyFields(counts.previous.latencies) } });
+        runner.outlets.broadcastEvidence(action);
+    }
 
     void perform(rollout_runner& runner, const Rollout::broadcast_latch& action)
     {
--- a/Source/Core/Control/RolloutTracker.cpp
+++ b/Source/Core/Control/RolloutTracker.cpp
@@ -194,11 +194,14 @@
 
 Rollout::attempt_observed toObservedAttempt(const Gateway::attempt_report& attempt)
 {
-    Rollout::attempt_observed observed { attempt.service.value, attempt.version, { attempt.route.value }, Rollout::attempt_event::Begun };
+    Rollout::attempt_observed observed { attempt.service.value, attempt.version, { attempt.route.value }, Rollout::attempt_event::Begun, { attempt.attempt.value }, attempt.expectedMs, attempt.elapsedMs };
     switch (attempt.type) {
     case Gateway::attempt_report::event::Begun:
         observed.event = Rollout::attempt_event::Begun;
         break;
+    case Gateway::attempt_report::event::FirstEvent:
+        observed.event = Rollout::attempt_event::FirstEvent;
+        break;
     case Gateway::attempt_report::event::OnTime:
         observed.event = Rollout::attempt_event::Succeeded;
         break;
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -24,6 +24,7 @@
     Scheduling::placement placement;
     Common::version_name version;
     Fleet::start_time started; ///< Of the endpoint.
+    Common::instant begun;
     int status { 0 };
     std::optional<Common::instant> headReceived; ///< When the head of the response arrived.
     body_framing framing { body_framing::Length };
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -167,6 +167,7 @@
     {
         call.currentAttempt.emplace();
         call.currentAttempt->placement = placement;
+        call.currentAttempt->begun = clockNow();
         call.currentAttempt->events = makeEventReader(call.position);
         const Fleet::endpoint& endpoint = state.scheduler.endpoints.at(placement.endpoint).facts;
         call.currentAttempt->version = endpoint.version;
@@ -269,8 +270,10 @@
         if (current.response.hasNotRun)
             return;
         const Common::instant now = clockNow();
-        if (isSuccess(current.status))
+        if (isSuccess(current.status)) {
             Scheduling::recordFirstEvent(state.scheduler, current.placement.endpoint, current.placement.id, now);
+            reportAttemptEvent(call, attempt_report::event::FirstEvent);
+        }
         if (call.isUsageRecorded)
             return;
         call.isUsageRecorded = true;
@@ -311,8 +314,10 @@
 
     void reportAttemptEvent(const proxied_call& call, attempt_report::event event) const
     {
-        if (outlets.reportAttempt && state.versionShares.contains(call.service))
-            outlets.reportAttempt({ call.service, call.currentAttempt->version, call.route->name, event });
+        if (!outlets.reportAttempt || !state.versionShares.contains(call.service))
+            return;
+        const attempt& current = *call.currentAttempt;
+        outlets.reportAttempt({ call.service, current.version, call.route->name, event, current.placement.id, current.placement.expectedMs, toMs(clockNow() - current.begun) });
     }
 
     next_step decideWithinRetryBudget(proxied_call& call, attempt_end outcome)
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -9,6 +9,7 @@
 #include "Quarantine/PartQuarantine.h"
 #include "Quota/Quota.h"
 #include "Scaling/Demand.h"
+#include "Scheduling/Scheduler.h"
 #include "Usage/Usage.h"
 
 #include <set>
@@ -59,6 +60,7 @@
 struct attempt_report {
     enum class event {
         Begun,
+        FirstEvent, ///< The start of a successful response.
         OnTime, ///< A complete response within the latency target of the route.
         Failed,
         Late, ///< A complete response after the latency target.
@@ -69,6 +71,9 @@
     Common::version_name version;
     Common::route_name route;
     event type { event::Begun };
+    Scheduling::placement_id attempt {};
+    double expectedMs { 0 }; ///< Expected time to the first event.
+    double elapsedMs { 0 }; ///< Since the attempt began.
 };
 
 /// Usage, demand and grants since the last report.
--- a/Source/Core/Membership/PeerCodec.cpp
+++ b/Source/Core/Membership/PeerCodec.cpp
@@ -6,6 +6,25 @@
 
 namespace Membership {
 
+namespace {
+
+    using encoded_histogram = google::protobuf::RepeatedField<uint64_t>;
+
+    void encodeHistogram(const Rollout::latency_histogram& counts, encoded_histogram& encoded)
+    {
+        const auto last = std::find_if(counts.rbegin(), counts.rend(), [](uint64_t count) { return count > 0; });
+        encoded.Assign(counts.begin(), last.base());
+    }
+
+    Rollout::latency_histogram decodeHistogram(const encoded_histogram& encoded)
+    {
+        Rollout::latency_histogram counts {};
+        std::copy_n(encoded.begin(), std::min(static_cast<size_t>(encoded.size()), counts.size()), counts.begin());
+        return counts;
+    }
+
+} // namespace
+
 void encodeMember(const member& item, filbertreel::peer::member_record& record)
 {
     record.set_node(item.id.value);
@@ -158,6 +177,12 @@
         row->set_previous_ended(counts.previous.ended);
         row->set_previous_failed(counts.previous.failed);
         row->set_previous_late(counts.previous.late);
+        encodeHistogram(counts.candidate.latencies.answered, *row->mutable_fresh_answered());
+        encodeHistogram(counts.candidate.latencies.unanswered, *row->mutable_fresh_unanswered());
+        encodeHistogram(counts.candidate.latencies.waiting, *row->mutable_fresh_waiting());
+        encodeHistogram(counts.previous.latencies.answered, *row->mutable_previous_answered());
+        encodeHistogram(counts.previous.latencies.unanswered, *row->mutable_previous_unanswered());
+        encodeHistogram(counts.previous.latencies.waiting, *row->mutable_previous_waiting());
     }
 }
 
@@ -166,8 +191,10 @@
     Rollout::peer_evidence item { node, { record.service(), { record.version() } }, {} };
     for (const auto& row : record.classes()) {
         Rollout::comparison& counts = item.counts[{ row.class_name() }];
-        counts.candidate = { row.fresh_begun(), row.fresh_ended(), row.fresh_failed(), row.fresh_late() };
-        counts.previous = { row.previous_begun(), row.previous_ended(), row.previous_failed(), row.previous_late() };
+        const Rollout::latency_counts fresh { decodeHistogram(row.fresh_answered()), decodeHistogram(row.fresh_unanswered()), decodeHistogram(row.fresh_waiting()) };
+        const Rollout::latency_counts previous { decodeHistogram(row.previous_answered()), decodeHistogram(row.previous_unanswered()), decodeHistogram(row.previous_waiting()) };
+        counts.candidate = { row.fresh_begun(), row.fresh_ended(), row.fresh_failed(), row.fresh_late(), fresh };
+        counts.previous = { row.previous_begun(), row.previous_ended(), row.previous_failed(), row.previous_late(), previous };
     }
     return item;
 }
--- a/Source/Core/Rollout/Rollout.cpp
+++ b/Source/Core/Rollout/Rollout.cpp
@@ -74,7 +74,7 @@
     /// Limits exposure by count: while too many attempts at the new version are unanswered, it gets no further ones.
     bool isOverexposed(const rollout_state& state, const active_rollout& rollout)
     {
-        const attempt_counts own = sum(rollout.own, &comparison::candidate);
+        const attempt_counts own = sum(rollout.own.counts, &comparison::candidate);
         const uint64_t unanswered = own.begun - std::min(own.begun, own.ended);
         const uint64_t allowed = std::max(minUnansweredLimit, state.settings.stages[rollout.stage].requiredEnded / std::max<size_t>(state.nodes, 1));
         return rollout.stage + 1 < state.settings.stages.size() && unanswered >= allowed;
@@ -225,29 +225,13 @@
             begin(state, key, version, output);
     }
 
-    void count(attempt_counts& counts, attempt_event event)
-    {
-        if (event == attempt_event::Begun) {
-            ++counts.begun;
-            return;
-        }
-        if (event == attempt_event::Abandoned) {
-            counts.begun -= counts.begun > counts.ended ? 1 : 0;
-            return;
-        }
-        ++counts.ended;
-        counts.failed += event == attempt_event::Failed ? 1 : 0;
-        counts.late += event == attempt_event::Late ? 1 : 0;
-    }
-
-    void handle(rollout_state& state, attempt_observed&& message, Common::wall_time, actions& output)
+    void handle(rollout_state& state, attempt_observed&& message, Common::wall_time now, actions& output)
     {
         for (auto& [key, rollout] : state.active) {
             if (key.service != message.service || rollout.isLatched)
                 continue;
-            comparison& counts = rollout.own[message.work];
             const bool isCandidate = key.version == message.version;
-            count(isCandidate ? counts.candidate : counts.previous, message.event);
+            countAttempt(rollout.own, message, isCandidate, now);
             if (!isCandidate)
                 continue;
             if (isOverexposed(state, rollout))
@@ -294,9 +278,10 @@
         if (isBroadcastDue)
             state.nextEvidence = { now.value + evidenceInterval(state) };
         for (auto& [key, rollout] : state.active) {
+            countWaiting(rollout.own, now);
             tickRollout(state, key, rollout, now, output);
-            if (isBroadcastDue && !rollout.own.empty())
-                output.push_back(broadcast_evidence { key, rollout.own });
+            if (isBroadcastDue && !rollout.own.counts.empty())
+                output.push_back(broadcast_evidence { key, rollout.own.counts });
             // Repeated at each interval, because nodes that join later need the latch as well.
             if (isBroadcastDue && rollout.isLatched)
                 output.push_back(broadcast_latch { key, rollout.cause });
@@ -307,7 +292,7 @@
 
 class_evidence poolEvidence(const active_rollout& rollout)
 {
-    class_evidence pooled = rollout.own;
+    class_evidence pooled = rollout.own.counts;
     for (const auto& [node, counts] : rollout.peers) {
         for (const auto& [work, compared] : counts) {
             pooled[work].candidate = pooled[work].candidate + compared.candidate;
--- a/Source/Core/Rollout/Rollout.h
+++ b/Source/Core/Rollout/Rollout.h
@@ -7,7 +7,7 @@
 /// taken back) is written to the configuration's version chain. No clock, no socket.
 
 #include "Configuration/Model.h"
-#include "Rollout/VersionComparison.h"
+#include "Rollout/AttemptCounter.h"
 
 #include <map>
 #include <variant>
@@ -15,8 +15,6 @@
 
 namespace Rollout {
 
-using class_evidence = std::map<Common::class_name, comparison>;
-
 /// Identifies a rollout by the service and its new version.
 struct rollout_key {
     std::string service;
@@ -29,22 +27,6 @@
     std::shared_ptr<const Configuration::configuration> config;
 };
 
-enum class attempt_event {
-    Begun,
-    Succeeded,
-    Failed,
-    Late,
-    Abandoned, ///< Ended for a reason unrelated to the version; no longer counted as begun.
-};
-
-/// An event of one attempt, observed by this node's dispatch.
-struct attempt_observed {
-    std::string service;
-    Common::version_name version;
-    Common::class_name work;
-    attempt_event event { attempt_event::Begun };
-};
-
 /// All that a peer has counted for a rollout so far; replaces the peer's earlier evidence.
 struct peer_evidence {
     Common::node_id node;
@@ -98,7 +80,7 @@
 
 struct active_rollout {
     Configuration::endpoint_version version;
-    class_evidence own; ///< Counted by this node.
+    attempt_counter own; ///< Counted by this node.
     std::map<Common::node_id, class_evidence> peers; ///< The latest evidence of each peer.
     size_t stage { 0 }; ///< Index into rollout_settings::stages.
     bool isLatched { false };
--- a/Source/Core/Rollout/VersionComparison.cpp
+++ b/Source/Core/Rollout/VersionComparison.cpp
@@ -1,7 +1,8 @@
 #include "Rollout/VersionComparison.h"
 
+#include "Rollout/BinomialTails.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace Rollout {
 
@@ -19,24 +20,6 @@
     /// Upper bound of the tested rate: log1p(-rate) is not finite at 1.
     constexpr double maxRate = 0.999;
 
-    /// @return the probability of at least `bad` bad events among `total` when each has probability `rate`.
-    double upperTail(uint64_t bad, uint64_t total, double rate)
-    {
-        constexpr double negligibleTerm = 1e-12;
-        const auto count = static_cast<double>(total);
-        double tail = 0;
-        for (uint64_t events = bad; events <= total; ++events) {
-            const auto number = static_cast<double>(events);
-            const double logTerm = std::lgamma(count + 1) - std::lgamma(number + 1) - std::lgamma(count - number + 1)
-                + number * std::log(rate) + (count - number) * std::log1p(-rate);
-            const double term = std::exp(logTerm);
-            tail += term;
-            if (number > count * rate && term < negligibleTerm)
-                break;
-        }
-        return tail;
-    }
-
     bool isWorse(uint64_t candidateBad, uint64_t candidateTotal, uint64_t previousBad, uint64_t previousTotal)
     {
         if (candidateBad < minBadEvents || candidateTotal == 0)
@@ -51,7 +34,7 @@
 
 attempt_counts operator+(const attempt_counts& left, const attempt_counts& right)
 {
-    return { left.begun + right.begun, left.ended + right.ended, left.failed + right.failed, left.late + right.late };
+    return { left.begun + right.begun, left.ended + right.ended, left.failed + right.failed, left.late + right.late, left.latencies + right.latencies };
 }
 
 verdict evaluate(const comparison& counts)
--- a/Source/Core/Rollout/VersionComparison.h
+++ b/Source/Core/Rollout/VersionComparison.h
@@ -3,6 +3,8 @@
 /// @file
 /// Statistical comparison of a new version with the version before it, on one class of work over the same period.
 
+#include "Rollout/LatencyComparison.h"
+
 #include <cstdint>
 #include <string>
 
@@ -14,6 +16,7 @@
     uint64_t ended { 0 };
     uint64_t failed { 0 };
     uint64_t late { 0 }; ///< Answered, but after the class's latency target.
+    latency_counts latencies {}; ///< Only of attempts whose expected time is known.
 };
 
 attempt_counts operator+(const attempt_counts& left, const attempt_counts& right);
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -134,12 +134,31 @@
         return found == state.serviceLatencyFactors.end() ? 1 : found->second;
     }
 
-    double predictModelMs(const scheduler_state& state, const endpoint_state& endpoint, double uncachedTokens, Common::instant now)
+    /// @return the time of a plain request by the endpoint's load, for an endpoint of usual speed.
+    double expectPlainMs(const endpoint_state& endpoint, Common::instant now)
+    {
+        const double requestsAhead = static_cast<double>(endpoint.placed.size()) + countRequestsOfOtherNodes(endpoint, now);
+        const double rounds = std::floor(requestsAhead / endpoint.facts.slots) + 1;
+        return plainRequestMs * rounds + requestsAhead;
+    }
+
+    /// @return the time to the first event by the request's work and the endpoint's load, for an endpoint of usual speed.
+    double expectModelMs(const scheduler_state& state, const endpoint_state& endpoint, double uncachedTokens, Common::instant now)
     {
         const linear_fit fit = fitPrefillTime(state, endpoint.facts.service);
         const double prefillMs = (endpoint.waitingTokens + uncachedTokens) * fit.msPerToken;
         const double batchMs = (static_cast<double>(endpoint.placed.size()) + countRequestsOfOtherNodes(endpoint, now)) * msPerConcurrentRequest;
-        return (fit.baseMs + prefillMs + batchMs) * endpoint.latencyFactor * serviceLatencyFactorOf(state, endpoint.facts.service);
+        return fit.baseMs + prefillMs + batchMs;
+    }
+
+    double expectMs(const scheduler_state& state, const endpoint_state& endpoint, const placement_request& request, double uncachedTokens, Common::instant now)
+    {
+        return request.model ? expectModelMs(state, endpoint, uncachedTokens, now) : expectPlainMs(endpoint, now);
+    }
+
+    double predictModelMs(const scheduler_state& state, const endpoint_state& endpoint, double uncachedTokens, Common::instant now)
+    {
+        return expectModelMs(state, endpoint, uncachedTokens, now) * endpoint.latencyFactor * serviceLatencyFactorOf(state, endpoint.facts.service);
     }
 
     double predictPlainMs(const endpoint_state& endpoint, Common::instant now)
@@ -182,6 +201,7 @@
         endpoint_state* endpoint { nullptr };
         double uncachedTokens { 0 };
         double predicted { 0 };
+        double expected { 0 };
         double score { 0 };
     };
 
@@ -226,7 +246,7 @@
         }
         chosen.endpoint->waitingTokens += chosen.uncachedTokens;
         chosen.endpoint->placed.emplace(id, placed);
-        return { chosen.endpoint->facts.id, chosen.endpoint->facts.started, chosen.endpoint->facts.address, id, chosen.predicted, chosen.uncachedTokens };
+        return { chosen.endpoint->facts.id, chosen.endpoint->facts.started, chosen.endpoint->facts.address, id, chosen.predicted, chosen.uncachedTokens, chosen.expected };
     }
 
     endpoint_state* find(scheduler_state& state, const Common::endpoint_id& id)
@@ -299,6 +319,7 @@
         best = findBest(state, request, limits, true, now);
     if (!best.endpoint)
         return tl::unexpected(refuseWithoutEndpoint(state, request.service, now));
+    best.expected = expectMs(state, *best.endpoint, request, best.uncachedTokens, now);
     const double left = toMs(request.deadline - now);
     if (best.predicted > left) {
         const auto excess = milliseconds(static_cast<int64_t>(best.predicted - left));
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -84,6 +84,8 @@
     placement_id id;
     double predictedMs { 0 }; ///< Predicted time to the first event.
     double uncachedTokens { 0 }; ///< Prompt tokens that the endpoint has to process.
+    /// The prediction without the corrections by observed latencies, so that these can be compared between endpoints.
+    double expectedMs { 0 };
 };
 
 enum class refusal_reason {
