Attempts report the time at the endpoint, without the network's round trips

The connection time, one round trip, is now taken off: twice for a new connection, once for a used one. Of attempts that wait, a bound is taken off, since their round trip is not known.

--- a/Source/Core/Gateway/AttemptOutcome.cpp
+++ b/Source/Core/Gateway/AttemptOutcome.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/AttemptOutcome.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace {
@@ -22,6 +24,12 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+double endpointMs(const attempt& current, Common::instant now)
+{
+    const int roundTrips = current.isConnectionReused ? 1 : 2;
+    return std::max(0.0, toMs(now - current.begun - roundTrips * current.channel->connectTime()));
+}
+
 bool isSuccess(int status)
 {
     return status / statusesPerClass == successClass;
--- a/Source/Core/Gateway/AttemptOutcome.h
+++ b/Source/Core/Gateway/AttemptOutcome.h
@@ -12,6 +12,12 @@
 /// @return a duration in milliseconds, with fractions.
 double toMs(Common::duration time);
 
+/// @param current an attempt that has begun.
+/// @param now current time.
+/// @return milliseconds since then without the network's round trips, so that endpoints at different distances can be
+/// compared.
+double endpointMs(const attempt& current, Common::instant now);
+
 /// @return whether an HTTP status is 2xx.
 bool isSuccess(int status);
 
--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -58,6 +58,11 @@
 {
 }
 
+Common::duration endpoint_channel::connectTime() const
+{
+    return m_connectTime;
+}
+
 uint64_t endpoint_channel::exchanges() const
 {
     return m_exchanges;
@@ -107,6 +112,7 @@
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->finish(exchange_end::NotSent); });
         return;
     }
+    m_connectStarted = std::chrono::steady_clock::now();
     m_timer.expires_after(timeout);
     m_timer.async_wait([self = shared_from_this()](const error_code& timerError) {
         if (timerError || self->m_isConnected || self->m_isClosed)
@@ -120,6 +126,7 @@
         if (connectError)
             return self->finish(exchange_end::NotSent);
         self->m_isConnected = true;
+        self->m_connectTime = std::chrono::steady_clock::now() - self->m_connectStarted;
         setSocketOptions(self->m_socket);
         self->write();
     });
--- a/Source/Core/Gateway/EndpointChannel.h
+++ b/Source/Core/Gateway/EndpointChannel.h
@@ -6,6 +6,7 @@
 /// Uses Boost.Beast instead of libcurl because the gateway must know whether bytes of a request were written (only then
 /// may the endpoint have run it), and because a connection must not be reused if bytes follow a complete response.
 
+#include "Common/Ids.h"
 #include "Http/Server.h"
 
 #include <array>
@@ -87,6 +88,8 @@
     bool isUsable();
     /// @return whether the idle connection has received bytes that belong to no request.
     bool hasSurplusBytes();
+    /// @return how long connecting took, which is one round trip; zero until connected.
+    Common::duration connectTime() const;
     /// @return number of exchanges started on this connection.
     uint64_t exchanges() const;
 
@@ -120,6 +123,8 @@
     std::string m_request;
     exchange_events m_events;
     uint64_t m_exchanges { 0 };
+    Common::instant m_connectStarted;
+    Common::duration m_connectTime { 0 };
     unsigned m_informationalHeads { 0 }; ///< Received in this exchange.
     bool m_isConnected { false };
     bool m_hasWritten { false };
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -317,7 +317,7 @@
         if (!outlets.reportAttempt || !state.versionShares.contains(call.service))
             return;
         const attempt& current = *call.currentAttempt;
-        outlets.reportAttempt({ call.service, current.version, call.route->name, event, current.placement.id, current.placement.expectedMs, toMs(clockNow() - current.begun) });
+        outlets.reportAttempt({ call.service, current.version, call.route->name, event, current.placement.id, current.placement.expectedMs, endpointMs(current, clockNow()) });
     }
 
     next_step decideWithinRetryBudget(proxied_call& call, attempt_end outcome)
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -73,7 +73,7 @@
     event type { event::Begun };
     Scheduling::placement_id attempt {};
     double expectedMs { 0 }; ///< Expected time to the first event.
-    double elapsedMs { 0 }; ///< Since the attempt began.
+    double elapsedMs { 0 }; ///< Since the attempt began, without the time on the network.
 };
 
 /// Usage, demand and grants since the last report.
--- a/Source/Core/Rollout/AttemptCounter.cpp
+++ b/Source/Core/Rollout/AttemptCounter.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// Part of the time waited that may have passed on the network.
+    constexpr int64_t maxNetworkMs = 250;
+
     attempt_counts& sideOf(comparison& counts, bool isCandidate)
     {
         return isCandidate ? counts.candidate : counts.previous;
@@ -65,8 +68,10 @@
         compared.candidate.latencies.waiting = {};
         compared.previous.latencies.waiting = {};
     }
-    for (const auto& [id, attempt] : counter.waiting)
-        ++sideOf(counter.counts[attempt.work], attempt.isCandidate).latencies.waiting[binOf(attempt, static_cast<double>(now.value - attempt.begunAt.value))];
+    for (const auto& [id, attempt] : counter.waiting) {
+        const int64_t waitedMs = std::max<int64_t>(now.value - attempt.begunAt.value - maxNetworkMs, 0);
+        ++sideOf(counter.counts[attempt.work], attempt.isCandidate).latencies.waiting[binOf(attempt, static_cast<double>(waitedMs))];
+    }
 }
 
 } // namespace Rollout
--- a/Source/Core/Rollout/AttemptCounter.h
+++ b/Source/Core/Rollout/AttemptCounter.h
@@ -29,7 +29,7 @@
     attempt_event event { attempt_event::Begun };
     Common::attempt_number number {}; ///< Zero if the attempt's latency isn't observed.
     double expectedMs { 0 }; ///< Expected time to the first event; of begun attempts with a number.
-    double elapsedMs { 0 }; ///< Since the attempt began; of attempts with a number.
+    double elapsedMs { 0 }; ///< Since the attempt began, without the time on the network; of attempts with a number.
 };
 
 /// An attempt without a first event.
--- a/Source/Core/Rollout/Tests/AttemptCounterTest.cpp
+++ b/Source/Core/Rollout/Tests/AttemptCounterTest.cpp
@@ -33,7 +33,7 @@
         observed.elapsedMs = item.elapsedMs;
         if (item.end != attempt_event::Begun)
             countAttempt(counter, observed, true, { 800 });
-        countWaiting(counter, { 800 });
+        countWaiting(counter, { 1050 });
         const latency_counts& counts = counter.counts[{ "r" }].candidate.latencies;
         CHECK_EQUAL_TEXT(item.answered, counts.answered[latencyBinOf(1)], item.name);
         CHECK_EQUAL_TEXT(item.unanswered, counts.unanswered[latencyBinOf(8)], item.name);
