Rollouts: a version must be shown to be as quick before it takes over

Cause: a version was judged by failures and by answers outside the objective, among ended attempts only. At a twentieth of the traffic its endpoints are idle, and slow answers still meet the objective. A number of ended attempts counted as proof, whatever they showed.

Change: times to the first event, over the time expected for the work, are compared between the versions, all classes together and each alone; attempts that wait are censored observations. A version that is slower beyond 1.4 times is latched (level 1e-4). It takes over only if its latencies rule out half of the answers four times as slow, and all of them twice as slow (each missed with probability 0.01); an attempt that may still be slow counts as slow. Without that after 75 attempts it pauses, and is taken back in time. Low traffic may use half of the exposure slack, so that it yields evidence. The step to all traffic has one of 0.3 before it.

ControlTest's simulated attempts now report their first events, which a version needs to be completed; its checks are unchanged.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -406,7 +406,7 @@
     self.nodeRows.watch.settings.table = nodeTable;
     self.context.onNewEra = [&self] { self.eraRisen(); };
     self.updateCallIntervals();
-    self.rollouts.tracker = makeRolloutTracker(self.context.settings.facts.bounds.exposureShare);
+    self.rollouts.tracker = makeRolloutTracker(self.context.settings.facts.bounds.exposureShare, self.context.settings.facts.bounds.exposureSlack);
     self.context.lease.settings.self = self.context.settings.self.node;
     self.context.lease.settings.duration = std::max(self.context.lease.settings.duration, self.context.settings.facts.bounds.lease + milliseconds(600));
     self.context.lease.lastNonce = self.context.settings.seed & ((uint64_t { 1 } << nonceBits) - 1);
--- a/Source/Core/Control/RolloutTracker.cpp
+++ b/Source/Core/Control/RolloutTracker.cpp
@@ -11,6 +11,8 @@
     constexpr double exposureFactor = 0.85;
     constexpr double firstStageFactor = 0.4;
     constexpr double secondStageFactor = 0.7;
+    /// Factor on the exposure slack; the rest is for attempts sent before the nodes know the newest evidence.
+    constexpr double slackFactor = 0.5;
     constexpr double thousandthsPerUnit = 1000;
     constexpr uint64_t firstStageAttempts = 10;
     constexpr uint64_t secondStageAttempts = 20;
@@ -106,7 +108,7 @@
 
 } // namespace
 
-rollout_tracker makeRolloutTracker(double exposureShare)
+rollout_tracker makeRolloutTracker(double exposureShare, double exposureSlack)
 {
     const double share = exposureShare * exposureFactor * thousandthsPerUnit;
     const auto first = static_cast<uint32_t>(share * firstStageFactor);
@@ -114,6 +116,8 @@
     const auto last = static_cast<uint32_t>(share);
     rollout_tracker tracker;
     tracker.evaluation.settings.stages = { { first, second, firstStageAttempts }, { second, last, secondStageAttempts }, { last, last, lastStageAttempts } };
+    tracker.evaluation.settings.comparesLatencies = true;
+    tracker.evaluation.settings.additionalAttempts = exposureSlack * slackFactor;
     tracker.evaluation.settings.takeOverTimeShare = takeOverTimeShare;
     tracker.evaluation.settings.endTimeShare = endTimeShare;
     tracker.evaluation.settings.evidenceIntervalMs = evidenceIntervalMs;
--- a/Source/Core/Control/RolloutTracker.h
+++ b/Source/Core/Control/RolloutTracker.h
@@ -40,8 +40,9 @@
 };
 
 /// @param exposureShare maximum share of a service's requests that a bad version may receive, 0 to 1.
+/// @param exposureSlack attempts that it may receive in addition.
 /// @return a tracker without rollouts, whose stages stay below the share until a version takes over.
-rollout_tracker makeRolloutTracker(double exposureShare);
+rollout_tracker makeRolloutTracker(double exposureShare, double exposureSlack);
 
 /// Actions that the caller has to perform.
 using rollout_actions = std::vector<Rollout::rollout_action>;
--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -415,10 +415,11 @@
 constexpr int64_t orderMs = 12000;
 
 struct simulated_rollout {
-    rollout_tracker tracker { makeRolloutTracker(0.1) };
+    rollout_tracker tracker { makeRolloutTracker(0.1, 50) };
     uint32_t share { 0 };
     uint64_t newVersionRequests { 0 };
     uint64_t totalRequests { 0 };
+    uint64_t attempts { 0 };
     double shareRemainder { 0 };
 
     void apply(const rollout_actions& actions)
@@ -441,8 +442,12 @@
 
     void observe(const char* version, bool isGood, int64_t now)
     {
-        for (const auto event : { Gateway::attempt_report::event::Begun, isGood ? Gateway::attempt_report::event::OnTime : Gateway::attempt_report::event::Failed })
-            apply(evaluate(tracker, toObservedAttempt({ { "s" }, { version }, { "r" }, event }), at(now)));
+        using event = Gateway::attempt_report::event;
+        constexpr double latencyMs = 100;
+        ++attempts;
+        const std::vector<event> events = isGood ? std::vector<event> { event::Begun, event::FirstEvent, event::OnTime } : std::vector<event> { event::Begun, event::Failed };
+        for (const event type : events)
+            apply(evaluate(tracker, toObservedAttempt({ { "s" }, { version }, { "r" }, type, { attempts }, latencyMs, latencyMs }), at(now)));
     }
 
     /// @param badFrom time from which the new version fails, in milliseconds.
@@ -537,7 +542,7 @@
         { "a new order", "v4", 90, true },
     };
     for (const row& item : rows) {
-        rollout_tracker tracker = makeRolloutTracker(0.1);
+        rollout_tracker tracker = makeRolloutTracker(0.1, 50);
         showOrder(tracker, "v2", 80, 0);
         showOrder(tracker, "v3", 90, 100);
         beginEra(tracker);
@@ -555,7 +560,7 @@
 TEST(RolloutTracker, AStatusLostByTheStoreIsReportedAgainOnceAndNeverGoesBack)
 {
     for (const rollout_status status : { rollout_status::InProgress, rollout_status::Completed, rollout_status::Reverted }) {
-        rollout_tracker tracker = makeRolloutTracker(0.1);
+        rollout_tracker tracker = makeRolloutTracker(0.1, 50);
         showOrder(tracker, "v2", 80, 0);
         applyReportedStatus(tracker, { "s" }, status, at(0));
         CHECK(!nextReport(tracker).has_value());
--- a/Source/Core/Control/Tests/SlowVersionTest.cpp
+++ b/Source/Core/Control/Tests/SlowVersionTest.cpp
@@ -134,7 +134,7 @@
         const std::map<std::string, Store::row> rows { { "rollout/s", { { "op", "", "rollout/s" }, "", { 5 }, false } } };
         shares.assign(load.nodes, 0);
         for (size_t node = 0; node < load.nodes; ++node) {
-            trackers.push_back(makeRolloutTracker(exposureShare));
+            trackers.push_back(makeRolloutTracker(exposureShare, exposureSlack));
             apply(node, applyOrders(trackers[node], { { { "s" }, { "v2" }, std::chrono::milliseconds(orderMs) } }, rows, at(0)));
             apply(node, evaluate(trackers[node], Rollout::node_count_changed { load.nodes }, at(0)));
         }
@@ -168,7 +168,9 @@
         + std::to_string(load.slowShare) + " x " + std::to_string(load.factor) + ", seed " + std::to_string(seed) + ": " + std::to_string(result.newVersionRequests) + " of " + std::to_string(result.requests);
 }
 
-constexpr uint64_t seeds = 10;
+constexpr uint64_t seeds = 20;
+/// Stated error: one good version in twenty.
+constexpr uint64_t maxWronglyReverted = 1;
 
 } // namespace
 
@@ -198,3 +200,25 @@
         }
     }
 }
+
+TEST(SlowVersion, AGoodVersionIsCompletedUnlessTheTrafficIsTooLowToShowIt)
+{
+    struct row {
+        load_row load;
+        bool canBeShown;
+    };
+    const row rows[] = {
+        { { 0.5, 1, 300, 0, 1, 0 }, false },
+        { { 20, 7, 300, 0, 1, 0 }, true },
+        { { 100, 1, 300, 0, 1, 0 }, true },
+        { { 100, 7, 300, 0, 1, 0 }, true },
+        { { 100, 40, 1500, 0, 1, 0 }, true },
+    };
+    for (const row& item : rows) {
+        uint64_t completed = 0;
+        for (uint64_t seed = 1; seed <= seeds; ++seed)
+            completed += play(item.load, seed).status == rollout_status::Completed ? 1 : 0;
+        const std::string text = describe(item.load, 0, {}) + ", completed " + std::to_string(completed);
+        CHECK_TEXT(item.canBeShown ? completed + maxWronglyReverted >= seeds : completed == 0, text.c_str());
+    }
+}
--- a/Source/Core/Rollout/Rollout.cpp
+++ b/Source/Core/Rollout/Rollout.cpp
@@ -16,6 +16,8 @@
     /// deadline.
     constexpr double takeBackTimeShare = 0.95;
     constexpr uint32_t allTraffic = 1000; ///< Thousandths.
+    /// Thousandths; the previous version keeps enough attempts to be compared with.
+    constexpr double maxRaisedShare = 500;
     /// Planned time of a rollout whose deadline is not after its start.
     constexpr int64_t fallbackPlanMilliseconds = 3600000;
     /// Every node sends its evidence to every other one, so in a large fleet it does so less often. The upper bound keeps the
@@ -61,14 +63,19 @@
 
     /// @return the stage's share in thousandths, raised up to its maximum when it would not yield the required attempts
     /// in time.
-    uint32_t chooseShare(const rollout_settings& settings, const active_rollout& rollout, const class_evidence& pooled, Common::wall_time now)
+    uint32_t chooseShare(const rollout_state& state, const active_rollout& rollout, const class_evidence& pooled, Common::wall_time now)
     {
+        const rollout_settings& settings = state.settings;
         const rollout_stage& stage = settings.stages[rollout.stage];
         const double stageAttempts = attemptsPerMillisecond(rollout, pooled, now) * stageTimeShare * static_cast<double>(plannedMilliseconds(rollout));
         if (stageAttempts <= 0)
             return stage.share;
-        const double wanted = 1000 * static_cast<double>(requiredAttempts(settings, rollout, pooled, now)) / (stageAttempts / 2);
-        return static_cast<uint32_t>(std::clamp(wanted, static_cast<double>(stage.share), static_cast<double>(stage.maxShare)));
+        // Nodes that have not been heard yet are assumed to have as many requests as the others.
+        const double nodesHeard = static_cast<double>(rollout.peers.size() + 1);
+        const double planAttempts = stageAttempts / stageTimeShare * std::max(1.0, static_cast<double>(state.nodes) / nodesHeard);
+        const double maxShare = std::min(maxRaisedShare, stage.maxShare + allTraffic * settings.additionalAttempts / planAttempts);
+        const double wanted = allTraffic * static_cast<double>(requiredAttempts(settings, rollout, pooled, now)) / (stageAttempts / 2);
+        return static_cast<uint32_t>(std::clamp(wanted, static_cast<double>(stage.share), std::max<double>(stage.share, maxShare)));
     }
 
     /// Limits exposure by count: while too many attempts at the new version are unanswered, it gets no further ones.
@@ -133,6 +140,33 @@
         }
     }
 
+    /// Compares all classes together, the whole time and the time since the version was last shown to be as quick: it may
+    /// become slower later.
+    void evaluateLatencies(rollout_state& state, const rollout_key& key, active_rollout& rollout, const class_evidence& pooled, actions& output)
+    {
+        const attempt_counts candidate = sum(pooled, &comparison::candidate);
+        const latency_counts previous = sum(pooled, &comparison::previous).latencies;
+        const latency_counts recent = since(candidate.latencies, rollout.shownQuick);
+        const bool isSlowerNow = evaluateLatencies(recent, previous) == verdict::Slower;
+        if (isSlowerNow || evaluateLatencies(candidate.latencies, previous) == verdict::Slower)
+            return latch(state, key, nameOf(verdict::Slower) + ": " + describe(pooled), output);
+        if (isShownToBeAsQuick(recent, previous)) {
+            rollout.shownQuick = candidate.latencies;
+            rollout.shownQuickBegun = candidate.begun;
+        }
+        rollout.isPaused = candidate.begun >= rollout.shownQuickBegun + state.settings.maxUnshownAttempts;
+    }
+
+    /// Compares each class: a version may be slower on one only.
+    void evaluateLatenciesByClass(rollout_state& state, const rollout_key& key, const class_evidence& pooled, actions& output)
+    {
+        for (const auto& [work, counts] : pooled) {
+            const verdict found = evaluateLatencies(counts.candidate.latencies, counts.previous.latencies);
+            if (found != verdict::NoFault)
+                return latch(state, key, nameOf(found) + " on " + work.value + ": " + describe({ { work, counts } }), output);
+        }
+    }
+
     void advance(const rollout_settings& settings, active_rollout& rollout, const class_evidence& pooled, Common::wall_time now)
     {
         if (rollout.stage + 1 >= settings.stages.size())
@@ -144,7 +178,10 @@
 
     bool isProven(const rollout_settings& settings, const active_rollout& rollout, const class_evidence& pooled, Common::wall_time now)
     {
-        return rollout.stage + 1 == settings.stages.size() && sum(pooled, &comparison::candidate).ended >= requiredAttempts(settings, rollout, pooled, now);
+        const attempt_counts candidate = sum(pooled, &comparison::candidate);
+        if (rollout.stage + 1 < settings.stages.size() || candidate.ended < requiredAttempts(settings, rollout, pooled, now))
+            return false;
+        return !settings.comparesLatencies || isShownToBeAsQuick(candidate.latencies, sum(pooled, &comparison::previous).latencies);
     }
 
     void takeOver(rollout_state& state, const rollout_key& key, active_rollout& rollout, const class_evidence& pooled, Common::wall_time now, actions& output)
@@ -152,7 +189,10 @@
         const bool movesAllFirst = state.settings.endTimeShare > 0;
         if (!movesAllFirst || timeShare(rollout, now) >= state.settings.endTimeShare)
             propose(state.settings, rollout, Configuration::version_state::Current, "proven: " + describe(pooled), now, output);
-        publish(state, key, movesAllFirst ? allTraffic : chooseShare(state.settings, rollout, pooled, now), output);
+        if (!movesAllFirst)
+            return publish(state, key, chooseShare(state, rollout, pooled, now), output);
+        const bool isRamp = timeShare(rollout, now) < state.settings.takeOverTimeShare + state.settings.rampTimeShare;
+        publish(state, key, isRamp ? state.settings.rampShare : allTraffic, output);
     }
 
     void tickRollout(rollout_state& state, const rollout_key& key, active_rollout& rollout, Common::wall_time now, actions& output)
@@ -160,6 +200,10 @@
         const class_evidence pooled = poolEvidence(rollout);
         if (!rollout.isLatched)
             evaluateClasses(state, key, pooled, output);
+        if (!rollout.isLatched && state.settings.comparesLatencies) {
+            evaluateLatenciesByClass(state, key, pooled, output);
+            evaluateLatencies(state, key, rollout, pooled, output);
+        }
         if (rollout.isLatched) {
             propose(state.settings, rollout, Configuration::version_state::RolledBack, rollout.cause, now, output);
             return;
@@ -170,7 +214,7 @@
             return takeOver(state, key, rollout, pooled, now, output);
         if (elapsed >= takeBackTimeShare)
             propose(state.settings, rollout, Configuration::version_state::RolledBack, "not proven in time: " + describe(pooled), now, output);
-        publish(state, key, isOverexposed(state, rollout) ? 0 : chooseShare(state.settings, rollout, pooled, now), output);
+        publish(state, key, rollout.isPaused || isOverexposed(state, rollout) ? 0 : chooseShare(state, rollout, pooled, now), output);
     }
 
     void begin(rollout_state& state, const rollout_key& key, const Configuration::endpoint_version& version, actions& output)
--- a/Source/Core/Rollout/Rollout.h
+++ b/Source/Core/Rollout/Rollout.h
@@ -82,6 +82,10 @@
     Configuration::endpoint_version version;
     attempt_counter own; ///< Counted by this node.
     std::map<Common::node_id, class_evidence> peers; ///< The latest evidence of each peer.
+    /// Latencies of the new version, all classes, when it was last shown to be as quick.
+    latency_counts shownQuick {};
+    uint64_t shownQuickBegun { 0 }; ///< Attempts at the new version that had begun by then.
+    bool isPaused { false }; ///< Gets no attempts until those that have begun show whether it is as quick.
     size_t stage { 0 }; ///< Index into rollout_settings::stages.
     bool isLatched { false };
     std::string cause; ///< Why it is latched.
@@ -107,6 +111,16 @@
     /// share of the planned time. Needed where the endpoints of the previous version are removed when the rollout ends:
     /// no request may be running on them by then.
     double endTimeShare { 0 };
+    /// Whether a version must be shown to be as quick as the one before it. Needs attempts that report first events.
+    bool comparesLatencies { false };
+    /// Attempts at the new version after which it pauses unless they show that it is as quick.
+    uint64_t maxUnshownAttempts { 75 };
+    /// Attempts that the new version may get in addition to its stage's share, so that low traffic yields evidence.
+    double additionalAttempts { 0 };
+    /// Thousandths that a proven version gets first when `endTimeShare` is above zero, and the share of the planned time
+    /// for that.
+    uint32_t rampShare { 300 };
+    double rampTimeShare { 0.04 };
     int64_t evidenceIntervalMs { 1000 }; ///< Between broadcasts of evidence and latches.
     int64_t proposalIntervalMs { 5000 }; ///< Between proposals to end the same rollout.
 };
--- a/Source/Core/Rollout/VersionComparison.cpp
+++ b/Source/Core/Rollout/VersionComparison.cpp
@@ -3,6 +3,7 @@
 #include "Rollout/BinomialTails.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Rollout {
 
@@ -20,6 +21,12 @@
     /// Upper bound of the tested rate: log1p(-rate) is not finite at 1.
     constexpr double maxRate = 0.999;
 
+    /// Significance level of the test for slower versions, which is repeated at each evaluation.
+    constexpr double slowerLevel = 1e-4;
+    /// Slowdowns that are ruled out before a version takes over, and the probability that one of them is missed.
+    constexpr std::array<slowdown, 2> excludedSlowdowns { { { 0.5, 4 }, { 1, 2 } } };
+    constexpr double missedSlowdownLevel = 0.01;
+
     bool isWorse(uint64_t candidateBad, uint64_t candidateTotal, uint64_t previousBad, uint64_t previousTotal)
     {
         if (candidateBad < minBadEvents || candidateTotal == 0)
@@ -46,6 +53,18 @@
     return verdict::NoFault;
 }
 
+verdict evaluateLatencies(const latency_counts& candidate, const latency_counts& previous)
+{
+    return isSlower(candidate, previous, slowerLevel) ? verdict::Slower : verdict::NoFault;
+}
+
+bool isShownToBeAsQuick(const latency_counts& candidate, const latency_counts& previous)
+{
+    return std::all_of(excludedSlowdowns.begin(), excludedSlowdowns.end(), [&](const slowdown& excluded) {
+        return rulesOut(candidate, previous, excluded, missedSlowdownLevel);
+    });
+}
+
 std::string nameOf(verdict value)
 {
     switch (value) {
@@ -55,6 +74,8 @@
         return "failing";
     case verdict::Late:
         return "late";
+    case verdict::Slower:
+        return "slower";
     }
     return "no_fault";
 }
--- a/Source/Core/Rollout/VersionComparison.h
+++ b/Source/Core/Rollout/VersionComparison.h
@@ -32,6 +32,7 @@
     NoFault,
     Failing,
     Late,
+    Slower,
 };
 
 /// @param counts both versions of one class.
@@ -39,6 +40,17 @@
 /// version's; Failing when both are.
 verdict evaluate(const comparison& counts);
 
+/// @param candidate latencies of the new version.
+/// @param previous latencies of the version before it.
+/// @return Slower when the new version's latencies are significantly higher.
+verdict evaluateLatencies(const latency_counts& candidate, const latency_counts& previous);
+
+/// @param candidate latencies of the new version.
+/// @param previous latencies of the version before it.
+/// @return whether the latencies rule out each of the slowdowns that a version must not have. With too few attempts they
+/// don't.
+bool isShownToBeAsQuick(const latency_counts& candidate, const latency_counts& previous);
+
 /// @param value a verdict.
 /// @return its name as used in causes of a latch.
 std::string nameOf(verdict value);
