Scaling: an order during a rollout releases no endpoints of the other kind

Cause: the new version's endpoints are plain and count towards the zone's maximum of both kinds. An order of one reclaimable endpoint more, given before they were listed, or of more plain ones, makes the cloud release what exceeds the maximum. withoutReleases looked at one kind.

Change: during a rollout an order is not sent if its number and the endpoints of the other kind exceed the maximum, and none is sent until the new version's endpoints can be listed.

Evidence: "more than the maximum allows beside the other kind" failed without the condition.

--- a/Source/Core/Control/EndpointOrders.cpp
+++ b/Source/Core/Control/EndpointOrders.cpp
@@ -34,6 +34,32 @@
             logPlan(ordering, now);
     }
 
+    Common::duration registrationTime(const endpoint_orders& ordering)
+    {
+        return entryWriteInterval + callIntervalsFor(ordering.context.nodes.size(), ordering.context.settings.facts.bounds).endpoints.pause;
+    }
+
+    void updateChangingSince(endpoint_orders& ordering, const std::set<Common::service_name>& changingVersion, Common::instant now)
+    {
+        std::erase_if(ordering.changingSince, [&](const auto& entry) { return !changingVersion.contains(entry.first); });
+        for (const Common::service_name& service : changingVersion)
+            ordering.changingSince.try_emplace(service, now);
+    }
+
+    /// @return the plan without orders that would release endpoints of a service whose version is being changed. Until the
+    /// new version's endpoints are known there are no orders for such a service.
+    Scaling::wanted_map withoutUnsafeOrders(endpoint_orders& ordering, const std::set<Common::service_name>& changingVersion, Common::instant now)
+    {
+        const control_context& context = ordering.context;
+        updateChangingSince(ordering, changingVersion, now);
+        Scaling::wanted_map wanted = Scaling::withoutReleases(ordering.planState.wanted, *context.catalog, context.endpoints.endpoints, changingVersion);
+        std::erase_if(wanted, [&](const auto& entry) {
+            const auto changing = ordering.changingSince.find(entry.first.service);
+            return changing != ordering.changingSince.end() && now - changing->second < registrationTime(ordering);
+        });
+        return wanted;
+    }
+
     void handleOrderAnswer(endpoint_orders& ordering, const Scaling::order& order, const Http::transfer_answer& answer)
     {
         const Scaling::order_outcome outcome = ordering.context.settings.calls.dutyAnswer(answer);
@@ -55,7 +81,7 @@
         ordering.nextPlan = now + planInterval;
         planAll(ordering, now);
     }
-    const Scaling::wanted_map wanted = Scaling::withoutReleases(ordering.planState.wanted, context.endpoints.endpoints, changingVersion);
+    const Scaling::wanted_map wanted = withoutUnsafeOrders(ordering, changingVersion, now);
     const auto order = Scaling::nextOrder(ordering.orders, wanted, now);
     if (!order)
         return;
--- a/Source/Core/Control/EndpointOrders.h
+++ b/Source/Core/Control/EndpointOrders.h
@@ -14,6 +14,7 @@
     Scaling::plan_state planState {};
     Scaling::order_tracker orders {};
     Common::instant nextPlan {};
+    std::map<Common::service_name, Common::instant> changingSince {}; ///< Services with a rollout in progress.
 };
 
 /// Updates the plan when it is due and sends the next order. Only the lease holder may call this.
--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Scaling {
 
@@ -170,6 +171,21 @@
         }
     }
 
+    uint32_t maxEndpoints(const Catalog::catalog& catalog, const Common::service_name& service)
+    {
+        const auto found = catalog.services.find(service);
+        const bool hasBounds = found != catalog.services.end() && found->second.scaling;
+        return hasBounds ? found->second.scaling->max : std::numeric_limits<uint32_t>::max();
+    }
+
+    bool releasesEndpoints(const order_target& target, uint32_t wanted, const zone_supply& present, uint32_t max)
+    {
+        const uint32_t sameKind = target.isReclaimable ? present.reclaimable : present.plain;
+        const uint32_t otherKind = target.isReclaimable ? present.plain : present.reclaimable;
+        const bool exceedsMax = otherKind > max || wanted > max - otherKind;
+        return wanted < sameKind || exceedsMax;
+    }
+
 } // namespace
 
 supply_map countSupply(const Fleet::endpoint_map& endpoints, const Common::service_name& service)
@@ -223,15 +239,16 @@
     return delayDecreases(planState, wanted, now);
 }
 
-wanted_map withoutReleases(wanted_map wanted, const Fleet::endpoint_map& endpoints, const std::set<Common::service_name>& changingVersion)
+wanted_map withoutReleases(wanted_map wanted, const Catalog::catalog& catalog, const Fleet::endpoint_map& endpoints, const std::set<Common::service_name>& changingVersion)
 {
     for (const Common::service_name& service : changingVersion) {
         const supply_map supply = countSupply(endpoints, service);
+        const uint32_t max = maxEndpoints(catalog, service);
         std::erase_if(wanted, [&](const auto& entry) {
             const auto present = supply.find(entry.first.zone);
             if (entry.first.service != service || present == supply.end())
                 return false;
-            return entry.second < (entry.first.isReclaimable ? present->second.reclaimable : present->second.plain);
+            return releasesEndpoints(entry.first, entry.second, present->second, max);
         });
     }
     return wanted;
--- a/Source/Core/Scaling/Plan.h
+++ b/Source/Core/Scaling/Plan.h
@@ -82,12 +82,14 @@
 wanted_map planServices(const Catalog::catalog& catalog, const Fleet::endpoint_map& endpoints, const demand_tracker& demand, const order_tracker& orders, plan_state& planState, milliseconds registrationTime, Common::instant now);
 
 /// Removes the orders that would release endpoints of services whose version is being changed. The numbers count endpoints
-/// of both versions, and the cloud may release those of the new one, which needs them once it gets all requests.
+/// of both versions, and the cloud may release those of the new one, which needs them once it gets all requests. The cloud
+/// also releases endpoints of one kind to stay within a zone's maximum when more of the other kind are ordered.
 /// @param wanted the wanted numbers.
+/// @param catalog the current catalog.
 /// @param endpoints all known endpoints.
 /// @param changingVersion services with a rollout in progress.
 /// @return the numbers to order.
-wanted_map withoutReleases(wanted_map wanted, const Fleet::endpoint_map& endpoints, const std::set<Common::service_name>& changingVersion);
+wanted_map withoutReleases(wanted_map wanted, const Catalog::catalog& catalog, const Fleet::endpoint_map& endpoints, const std::set<Common::service_name>& changingVersion);
 
 /// Applies increases at once, and decreases only after the lower count has lasted for a while.
 /// @param planState updated in place.
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -302,7 +302,7 @@
     }
     struct row {
         const char* condition;
-        uint32_t wanted; ///< The zone has two plain and two reclaimable endpoints.
+        uint32_t wanted; ///< The zone has two plain and two reclaimable endpoints, and a maximum of eight.
         bool isReclaimable;
         bool isChanging;
         bool isOrdered;
@@ -312,14 +312,19 @@
         { "fewer plain", 0, false, true, false },
         { "as many", 2, true, true, true },
         { "more", 4, true, true, true },
+        { "as many as the maximum allows beside the other kind", 6, true, true, true },
+        { "more than the maximum allows beside the other kind", 7, true, true, false },
+        { "more than the maximum, no change of version", 7, true, false, true },
         { "fewer, no change of version", 0, false, false, true },
     };
+    Catalog::catalog catalog;
+    catalog.services[{ "s" }].scaling.emplace().max = 8;
     for (const row& item : rows) {
         const order_target target { { "s" }, { "a" }, item.isReclaimable };
         std::set<Common::service_name> changing;
         if (item.isChanging)
             changing.insert({ "s" });
-        CHECK_EQUAL_TEXT(item.isOrdered, withoutReleases({ { target, item.wanted } }, endpoints, changing).contains(target), item.condition);
+        CHECK_EQUAL_TEXT(item.isOrdered, withoutReleases({ { target, item.wanted } }, catalog, endpoints, changing).contains(target), item.condition);
     }
 }
 
