Scaling: after a rollout the plan starts from the endpoints that are left

Cause: the plan of the time before the rollout, mostly reclaimable endpoints and hardly any plain ones, came into force as soon as it had ended. The reclaimable ones were the old version's and had just stopped; the new version's are plain and were released before others had started.

Change: from the end of a rollout until its stopped endpoints are gone from the list no order is sent, and the plan then starts from what is present, so that plain endpoints leave after the usual delay.

--- a/Source/Core/Control/EndpointOrders.cpp
+++ b/Source/Core/Control/EndpointOrders.cpp
@@ -41,20 +41,40 @@
 
     void updateChangingSince(endpoint_orders& ordering, const std::set<Common::service_name>& changingVersion, Common::instant now)
     {
-        std::erase_if(ordering.changingSince, [&](const auto& entry) { return !changingVersion.contains(entry.first); });
+        std::erase_if(ordering.changingSince, [&](const auto& entry) {
+            const bool hasEnded = !changingVersion.contains(entry.first);
+            if (hasEnded)
+                ordering.changedAt[entry.first] = now;
+            return hasEnded;
+        });
         for (const Common::service_name& service : changingVersion)
             ordering.changingSince.try_emplace(service, now);
     }
 
+    /// At the end of a rollout the endpoints of one version stop. The plan starts anew from those that are left.
+    void restartPlans(endpoint_orders& ordering, Common::instant now)
+    {
+        std::erase_if(ordering.changedAt, [&](const auto& entry) {
+            const bool isListed = now - entry.second >= registrationTime(ordering);
+            if (isListed)
+                Scaling::restartPlan(ordering.planState, entry.first);
+            return isListed;
+        });
+    }
+
     /// @return the plan without orders that would release endpoints of a service whose version is being changed. Until the
-    /// new version's endpoints are known there are no orders for such a service.
+    /// new version's endpoints are known, and from the end of the rollout until those that stop are gone from the list, there are
+    /// no orders for such a service.
     Scaling::wanted_map withoutUnsafeOrders(endpoint_orders& ordering, const std::set<Common::service_name>& changingVersion, Common::instant now)
     {
         const control_context& context = ordering.context;
         updateChangingSince(ordering, changingVersion, now);
+        restartPlans(ordering, now);
         Scaling::wanted_map wanted = Scaling::withoutReleases(ordering.planState.wanted, *context.catalog, context.endpoints.endpoints, changingVersion);
         std::erase_if(wanted, [&](const auto& entry) {
             const auto changing = ordering.changingSince.find(entry.first.service);
+            if (ordering.changedAt.contains(entry.first.service))
+                return true;
             return changing != ordering.changingSince.end() && now - changing->second < registrationTime(ordering);
         });
         return wanted;
--- a/Source/Core/Control/EndpointOrders.h
+++ b/Source/Core/Control/EndpointOrders.h
@@ -15,6 +15,7 @@
     Scaling::order_tracker orders {};
     Common::instant nextPlan {};
     std::map<Common::service_name, Common::instant> changingSince {}; ///< Services with a rollout in progress.
+    std::map<Common::service_name, Common::instant> changedAt {}; ///< Services whose rollout has just ended.
 };
 
 /// Updates the plan when it is due and sends the next order. Only the lease holder may call this.
--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -320,6 +320,13 @@
         known->second.nextTry = std::min(known->second.nextTry, now);
 }
 
+void restartPlan(plan_state& planState, const Common::service_name& service)
+{
+    const auto isOfService = [&service](const auto& entry) { return entry.first.service == service; };
+    std::erase_if(planState.wanted, isOfService);
+    std::erase_if(planState.lowerSince, isOfService);
+}
+
 void resetForNewTenure(plan_state& planState, order_tracker& orders)
 {
     planState.wanted.clear();
--- a/Source/Core/Scaling/Plan.h
+++ b/Source/Core/Scaling/Plan.h
@@ -126,6 +126,11 @@
 /// Makes the order of a lost endpoint due at once, to replace the endpoint.
 void recordEndpointLoss(order_tracker& state, const order_target& target, Common::instant now);
 
+/// Drops the planned counts of a service, so that its next plan starts from the existing endpoints.
+/// @param planState changed in place.
+/// @param service its endpoints were replaced by others.
+void restartPlan(plan_state& planState, const Common::service_name& service);
+
 /// Drops the planned counts and the orders of an earlier tenure as lease holder: another node may have ordered since, so
 /// the next plan starts from the existing endpoints. What is known of the initial endpoints stays valid.
 /// @param planState its counts and pending decreases are dropped.
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -290,6 +290,29 @@
     CHECK_EQUAL(4, planServices(catalog, endpoints, demand, orders, planState, milliseconds(3300), at(62000))[target]);
 }
 
+TEST(Plan, AfterARolloutThePlanKeepsTheNewVersionsEndpoints)
+{
+    // The old version's endpoints, all reclaimable, have stopped; those of the new one are plain.
+    Catalog::catalog catalog;
+    catalog.services.emplace(Common::service_name { "s" }, makeService());
+    const order_target plain { { "s" }, { "a" }, false };
+    const order_target other { { "other" }, { "a" }, false };
+    plan_state planState;
+    delayDecreases(planState, { { plain, 0 }, { other, 7 } }, at(0));
+    Fleet::endpoint_map endpoints;
+    for (int number = 0; number < 12; ++number) {
+        Fleet::endpoint item = makeEndpoint(number, false);
+        endpoints.emplace(item.id, item);
+    }
+    const uint32_t present = countSupply(endpoints, { "s" }).at({ "a" }).plain;
+    demand_tracker demand;
+    recordDemand(demand, { { "n" }, { "a" }, { { { "s" }, 1 } }, milliseconds(250) }, at(60000));
+    restartPlan(planState, { "s" });
+    CHECK_EQUAL(present, planServices(catalog, endpoints, demand, {}, planState, milliseconds(3300), at(60000))[plain]);
+    CHECK_EQUAL(present, planServices(catalog, endpoints, demand, {}, planState, milliseconds(3300), at(62000))[plain]);
+    CHECK_EQUAL(7, planState.wanted.at(other));
+}
+
 TEST(Plan, EndpointsAreNotReleasedWhileTheirVersionChanges)
 {
     // The new version's endpoints were started beside the old ones, so the zone has twice as many as are needed. An order of
