Logs: plain requests can be followed over their attempts, every broken attempt is checked

Cause of the gap: attempt_broken names prompt parts only, and the check whether the endpoint still accepts connections ran for requests with parts whose response had begun.

Change, before any logic: `fingerprint` (hash of account, service, method, path, query and body), `route` and `ms_after_start` in attempt_broken, `fingerprint` in request_ended, and endpoint_checked after every broken attempt. Decisions are unchanged. The check costs one connection per endpoint at a time, after a break only.

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -103,6 +103,7 @@
         return request_rejection { 503, "leaving", retryAfterLeaving };
     setDeadlineAndRetryLimits(call);
     call.service = Catalog::chooseService(*call.route, Common::uniformUnit(state.scheduler.random));
+    call.wholeRequest = Quarantine::wholeRequestHash({ call.service, call.account, call.request.method, call.request.target, call.request.body });
     if (call.facts.model)
         call.sharedParts = Quarantine::sharedParts(call.service, *call.facts.model);
     const Quarantine::part_verdict verdict = Quarantine::judgeRequest(state.quarantine, call.sharedParts, call.arrived);
--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -69,6 +69,9 @@
 {
     const attempt& current = *call.currentAttempt;
     nlohmann::json fields { { "request", call.facts.attemptId }, { "endpoint", current.placement.endpoint.value }, { "status", current.status }, { "others_in_flight", othersInFlight } };
+    fields["route"] = call.route->name.value;
+    fields["fingerprint"] = Common::toHex(call.wholeRequest.value);
+    fields["ms_after_start"] = std::llround(toMs(now - current.begun));
     if (current.headReceived)
         fields["ms_after_head"] = std::llround(toMs(now - *current.headReceived));
     if (call.facts.model) {
@@ -82,8 +85,10 @@
 {
     nlohmann::json fields { { "request", call.facts.attemptId }, { "outcome", outcome }, { "status", status }, { "ms", std::llround(toMs(now - call.arrived)) } };
     fields["catalog"] = call.catalog ? call.catalog->version : 0;
-    if (call.route)
+    if (call.route) {
         fields["route"] = call.route->name.value;
+        fields["fingerprint"] = Common::toHex(call.wholeRequest.value);
+    }
     if (!call.account.value.empty())
         fields["account"] = call.account.value;
     if (call.refusedGrant) {
--- a/Source/Core/Gateway/CallLog.h
+++ b/Source/Core/Gateway/CallLog.h
@@ -15,8 +15,8 @@
 /// Logs that an endpoint's response holds the head of a second one.
 void logSecondResponse(const proxied_call& call);
 
-/// Logs that the connection of an attempt broke off: which prompt parts the request carried, how long after the head of the
-/// response, and how many other requests were at the endpoint.
+/// Logs that the connection of an attempt broke off: what the request has in common with others, how long after its start and
+/// the head of the response, and how many other requests were at the endpoint.
 /// @param othersInFlight this node's other requests at the endpoint.
 /// @param now current time.
 void logBrokenAttempt(const proxied_call& call, size_t othersInFlight, Common::instant now);
--- a/Source/Core/Gateway/CrashWatch.cpp
+++ b/Source/Core/Gateway/CrashWatch.cpp
@@ -60,14 +60,13 @@
 {
     const attempt& current = *call.currentAttempt;
     logBrokenAttempt(call, Scheduling::countPlaced(m_state.scheduler, current.placement.endpoint), now);
+    const Quarantine::endpoint_start start { current.placement.endpoint, current.started };
+    checkOnce(start, current.placement.address, now);
     if (!brokeAtItsBeginning(current, now))
         return;
     std::vector<Quarantine::part_hash> unproven = Quarantine::unprovenParts(m_state.quarantine, call.sharedParts, now);
-    if (unproven.empty())
-        return;
-    const Quarantine::endpoint_start start { current.placement.endpoint, current.started };
-    Quarantine::addBrokenResponse(m_state.crashEvidence, { start, std::move(unproven), now });
-    checkOnce(start, current.placement.address, now);
+    if (!unproven.empty())
+        Quarantine::addBrokenResponse(m_state.crashEvidence, { start, std::move(unproven), now });
 }
 
 void crash_watch::checkOnce(const Quarantine::endpoint_start& start, const std::string& address, Common::instant now)
--- a/Source/Core/Quarantine/CrashEvidence.cpp
+++ b/Source/Core/Quarantine/CrashEvidence.cpp
@@ -25,6 +25,14 @@
 
 } // namespace
 
+part_hash wholeRequestHash(const request_identity& identity)
+{
+    uint64_t hash = Common::hash64(identity.service.value);
+    for (const std::string_view text : { std::string_view(identity.account.value), identity.method, identity.target, identity.body })
+        hash = Common::hash64(text, hash);
+    return { hash };
+}
+
 std::vector<part_hash> sharedParts(const Common::service_name& service, const Scheduling::model_request& model)
 {
     std::vector<part_hash> parts;
--- a/Source/Core/Quarantine/CrashEvidence.h
+++ b/Source/Core/Quarantine/CrashEvidence.h
@@ -9,6 +9,7 @@
 
 #include <compare>
 #include <deque>
+#include <string_view>
 #include <vector>
 
 namespace Quarantine {
@@ -26,6 +27,18 @@
     friend auto operator<=>(const endpoint_start&, const endpoint_start&) = default;
 };
 
+/// What is the same each time a caller sends a request again.
+struct request_identity {
+    Common::service_name service;
+    Common::account_id account;
+    std::string_view method;
+    std::string_view target; ///< Path and query.
+    std::string_view body;
+};
+
+/// @return a hash of the whole request, the same on every node.
+part_hash wholeRequestHash(const request_identity& identity);
+
 /// @param service that runs the request.
 /// @param model the request's prompt parts.
 /// @return the parts that other requests may share: all but the last.
