--- /dev/null
+++ b/Tests/Platform/GatewayFleet.cpp
@@ -0,0 +1,124 @@
+#include "Platform/GatewayFleet.h"
+
+#include "platform/CallHeaders.h"
+
+#include <algorithm>
+
+namespace PlatformTests {
+
+gateway_fleet::gateway_fleet(size_t nodeCount, const std::vector<std::vector<scripted_answer>>& scripts)
+    : m_members(nodeCount)
+{
+    for (const auto& script : scripts)
+        endpoints.push_back(std::make_unique<scripted_endpoint>(script));
+    for (size_t node = 0; node < nodeCount; ++node)
+        start(node);
+}
+
+gateway_fleet::~gateway_fleet()
+{
+    for (size_t node = 0; node < m_members.size(); ++node)
+        stop(node);
+}
+
+uint16_t gateway_fleet::port(size_t node) const
+{
+    return m_members[node].port;
+}
+
+size_t gateway_fleet::arrivalsWith(const std::string& text) const
+{
+    size_t count = 0;
+    for (const auto& endpoint : endpoints) {
+        const std::vector<std::string> requests = endpoint->requests();
+        count += static_cast<size_t>(std::count_if(requests.begin(), requests.end(), [&text](const std::string& request) { return request.find(text) != std::string::npos; }));
+    }
+    return count;
+}
+
+Common::node_id gateway_fleet::idOf(size_t node)
+{
+    return { "n" + std::to_string(node) };
+}
+
+Fleet::endpoint_map gateway_fleet::listing() const
+{
+    Fleet::endpoint_map listed;
+    for (size_t number = 0; number < endpoints.size(); ++number) {
+        if (endpoints[number]->isDown())
+            continue;
+        Fleet::endpoint item;
+        item.id = { "e" + std::to_string(number) };
+        item.started = { endpoints[number]->restarts() };
+        item.service = { "s" };
+        item.zone = { "z" };
+        item.address = endpoints[number]->address();
+        listed[item.id] = item;
+    }
+    return listed;
+}
+
+void gateway_fleet::sendListing()
+{
+    for (const member& item : m_members)
+        static_cast<void>(item.duty->submit(Gateway::endpoints_update { listing() }));
+}
+
+void gateway_fleet::start(size_t node)
+{
+    Gateway::gateway_settings settings;
+    member& started = m_members[node];
+    started.port = findFreePort();
+    settings.facts.node = idOf(node);
+    settings.facts.listen.callers = "127.0.0.1:" + std::to_string(started.port);
+    settings.facts.zone = { "z" };
+    settings.facts.isFirstStart = true;
+    settings.wire = PlatformAdapter::makeWireFormat();
+    Gateway::gateway_outlets outlets;
+    outlets.report = [](Gateway::interval_report&&) {};
+    outlets.sendPartStatement = [this, node](Quarantine::outgoing_statement&& item) { deliver(node, item); };
+    auto duty = std::make_unique<Gateway::gateway_duty>(settings, std::move(outlets));
+    Gateway::peers_update known;
+    for (size_t peer = 0; peer < m_members.size(); ++peer) {
+        if (peer != node)
+            known.peers.insert(idOf(peer));
+    }
+    static_cast<void>(duty->submit(std::move(known)));
+    static_cast<void>(duty->submit(Gateway::catalog_update { makeTestCatalog() }));
+    static_cast<void>(duty->submit(Gateway::endpoints_update { listing() }));
+    {
+        const std::lock_guard guard(m_mutex);
+        started.duty = std::move(duty);
+    }
+    started.thread = std::thread([running = started.duty.get()] { running->run(); });
+    waitUntilListening(started.port);
+}
+
+void gateway_fleet::stop(size_t node)
+{
+    member& stopped = m_members[node];
+    stopped.duty->stop();
+    stopped.thread.join();
+    const std::lock_guard guard(m_mutex);
+    stopped.duty.reset();
+}
+
+void gateway_fleet::restart(const std::vector<size_t>& nodes)
+{
+    for (const size_t node : nodes)
+        stop(node);
+    for (const size_t node : nodes)
+        start(node);
+}
+
+void gateway_fleet::deliver(size_t from, const Quarantine::outgoing_statement& item)
+{
+    const std::lock_guard guard(m_mutex);
+    for (size_t node = 0; node < m_members.size(); ++node) {
+        const bool isMeant = node != from && (!item.receiver || *item.receiver == idOf(node));
+        if (isMeant && m_members[node].duty)
+            static_cast<void>(m_members[node].duty->submit(Gateway::part_statement_received { idOf(from), item.statement }));
+    }
+}
+
+} // namespace PlatformTests
--- a/Tests/Platform/RunningGateway.cpp
+++ b/Tests/Platform/RunningGateway.cpp
@@ -24,29 +24,29 @@
         return item;
     }
 
-    Catalog::catalog_pointer makeCatalog()
-    {
-        auto newCatalog = std::make_shared<Catalog::catalog>();
-        newCatalog->version = 1;
-        newCatalog->routes = {
-            makeRoute("/once/", Catalog::route_kind::AtMostOnce, false, 2),
-            makeRoute("/idem/", Catalog::route_kind::Idempotent, false, 2),
-            makeRoute("/stream/", Catalog::route_kind::Stream, false, 1),
-            makeRoute("/resume/", Catalog::route_kind::Stream, true, 2),
-        };
-        Catalog::service service;
-        service.name = { "s" };
-        newCatalog->services.emplace(service.name, service);
-        Catalog::account account;
-        account.id = { "clerks" };
-        account.keys = { "k1" };
-        newCatalog->accounts.push_back(account);
-        Catalog::indexCatalog(*newCatalog);
-        return newCatalog;
-    }
-
 } // namespace
 
+Catalog::catalog_pointer makeTestCatalog()
+{
+    auto newCatalog = std::make_shared<Catalog::catalog>();
+    newCatalog->version = 1;
+    newCatalog->routes = {
+        makeRoute("/once/", Catalog::route_kind::AtMostOnce, false, 2),
+        makeRoute("/idem/", Catalog::route_kind::Idempotent, false, 2),
+        makeRoute("/stream/", Catalog::route_kind::Stream, false, 1),
+        makeRoute("/resume/", Catalog::route_kind::Stream, true, 2),
+    };
+    Catalog::service service;
+    service.name = { "s" };
+    newCatalog->services.emplace(service.name, service);
+    Catalog::account account;
+    account.id = { "clerks" };
+    account.keys = { "k1" };
+    newCatalog->accounts.push_back(account);
+    Catalog::indexCatalog(*newCatalog);
+    return newCatalog;
+}
+
 std::string chunk(const std::string& text)
 {
     constexpr const char* digits = "0123456789abcdef";
@@ -75,10 +75,10 @@
         listed[item.id] = item;
     }
     if (hasCatalog)
-        static_cast<void>(duty->submit(Gateway::catalog_update { makeCatalog() }));
+        static_cast<void>(duty->submit(Gateway::catalog_update { makeTestCatalog() }));
     sendListing();
     thread = std::thread([this] { duty->run(); });
-    waitUntilListening();
+    waitUntilListening(port);
 }
 
 running_gateway::~running_gateway()
@@ -97,7 +97,7 @@
     static_cast<void>(duty->submit(std::move(message)));
 }
 
-void running_gateway::waitUntilListening() const
+void waitUntilListening(uint16_t port)
 {
     for (int tries = 0; tries < 200; ++tries) {
         try {
--- a/Tests/Platform/RunningGateway.h
+++ b/Tests/Platform/RunningGateway.h
@@ -20,6 +20,9 @@
 inline const std::string failedAnswer = "HTTP/1.1 500 Oops\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.2\r\nContent-Length: 3\r\n\r\nbad";
 inline const std::string streamHead = answerHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// @return a catalog with the routes /once/ (at most once), /idem/ (idempotent), /stream/ and /resume/ (a resumable stream).
+Catalog::catalog_pointer makeTestCatalog();
+
 /// @return the text as one chunk of a chunked body.
 std::string chunk(const std::string& text);
 
@@ -31,7 +34,6 @@
     std::unique_ptr<Gateway::gateway_duty> duty;
     std::thread thread;
 
-    /// Its routes are /once/ (at most once), /idem/ (idempotent), /stream/ and /resume/ (a resumable stream).
     explicit running_gateway(const std::vector<std::vector<scripted_answer>>& scripts, bool hasCatalog = true, Gateway::gateway_outlets outlets = { [](Gateway::interval_report&&) {}, {}, {}, {} });
     ~running_gateway();
     running_gateway(const running_gateway&) = delete;
@@ -41,11 +43,11 @@
     size_t arrivals() const;
     /// Sends the gateway the endpoints of `listed` that haven't gone down, as after a read of the store.
     void sendListing();
-
-private:
-    void waitUntilListening() const;
 };
 
+/// Returns once connections to a local port are accepted. Throws std::runtime_error if they never are.
+void waitUntilListening(uint16_t port);
+
 /// @return a POST request with attempt id "id7" and the key of a known account.
 std::string makeRequest(const std::string& target, const std::string& extraLines = "", const std::string& body = "body", const std::string& key = "k1");
 
--- a/Tests/Platform/ScriptedEndpoint.cpp
+++ b/Tests/Platform/ScriptedEndpoint.cpp
@@ -26,6 +26,7 @@
 
     constexpr int pollIntervalMs = 20;
     constexpr std::chrono::milliseconds lateAfter { 50 };
+    constexpr std::chrono::milliseconds goesDownAfter { 1020 };
     constexpr auto readTimeout = std::chrono::seconds(2);
 
     bool isReadable(tcp::socket& socket)
@@ -90,7 +91,12 @@
 
 bool scripted_endpoint::isDown() const
 {
-    return m_isDown;
+    return m_isDown || m_isSilent;
+}
+
+int scripted_endpoint::restarts() const
+{
+    return m_restarts;
 }
 
 int scripted_endpoint::abandoned() const
@@ -155,22 +161,62 @@
         const size_t message = messageSize(received);
         if (message == 0 || received.size() < message)
             continue;
+        if (m_isSilent)
+            continue;
         const scripted_answer answer = nextAnswer(received.substr(0, message));
         received.erase(0, message);
         boost::asio::write(socket, boost::asio::buffer(answer.bytes), error);
-        m_isDown = m_isDown || answer.end == answer_end::GoDown;
-        if (answer.end == answer_end::Reset)
-            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
-        if (answer.end == answer_end::Reset || answer.end == answer_end::Close)
-            return socket.close();
-        if (answer.end == answer_end::Endless)
-            return sendWithoutEnd(socket, answer.repeated);
-        if (answer.end == answer_end::Late) {
-            std::this_thread::sleep_for(lateAfter);
-            boost::asio::write(socket, boost::asio::buffer(answer.repeated), error);
-        }
+        if (finishAnswer(socket, answer))
+            return;
         isWaiting = answer.end == answer_end::Wait;
     }
+    if (m_isDown && m_closesWithReset) {
+        error_code ignored;
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+}
+
+bool scripted_endpoint::finishAnswer(tcp::socket& socket, const scripted_answer& answer)
+{
+    error_code error;
+    switch (answer.end) {
+    case answer_end::Keep:
+    case answer_end::Wait:
+        return false;
+    case answer_end::Late:
+        std::this_thread::sleep_for(lateAfter);
+        boost::asio::write(socket, boost::asio::buffer(answer.repeated), error);
+        return false;
+    case answer_end::GoSilent:
+        m_isSilent = true;
+        return false;
+    case answer_end::GoDownLate:
+        std::this_thread::sleep_for(goesDownAfter);
+        m_isDown = true;
+        return false;
+    case answer_end::GoDown:
+        m_isDown = true;
+        return false;
+    case answer_end::GoDownWithReset:
+        m_closesWithReset = true;
+        m_isDown = true;
+        return false;
+    case answer_end::Endless:
+        sendWithoutEnd(socket, answer.repeated);
+        return true;
+    case answer_end::Reset:
+        socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        socket.close();
+        return true;
+    case answer_end::Restart:
+        ++m_restarts;
+        socket.close();
+        return true;
+    case answer_end::Close:
+        socket.close();
+        return true;
+    }
+    return true;
 }
 
 void scripted_endpoint::sendWithoutEnd(tcp::socket& socket, const std::string& repeated)
--- a/Tests/Platform/ScriptedEndpoint.h
+++ b/Tests/Platform/ScriptedEndpoint.h
@@ -23,6 +23,10 @@
     Late, ///< Keeps the connection open and sends scripted_answer::repeated once, somewhat later.
     Endless, ///< Sends scripted_answer::repeated until the other side closes.
     GoDown, ///< Closes all connections and accepts no further ones.
+    GoDownLate, ///< The same one second later.
+    GoDownWithReset, ///< Resets all connections and accepts no further ones.
+    GoSilent, ///< Keeps all connections open and answers nothing more.
+    Restart, ///< Closes the connection and goes on as a process that has just been started.
 };
 
 /// One answer. "@ID@" in the bytes is replaced by the request's attempt id.
@@ -47,8 +51,10 @@
     std::vector<std::string> requests() const;
     /// @return the number of connections that the other side closed after an answer with answer_end::Wait or Endless.
     int abandoned() const;
-    /// @return whether it has gone down.
+    /// @return whether it has gone down or fallen silent.
     bool isDown() const;
+    /// @return how often it was started again.
+    int restarts() const;
     /// @return bytes sent of answers with answer_end::Endless.
     size_t bytesSent() const;
 
@@ -57,6 +63,8 @@
     void serveConnection(boost::asio::ip::tcp::socket socket);
     scripted_answer nextAnswer(const std::string& request);
     scripted_answer chooseAnswer(const std::string& request);
+    /// @return whether the connection ends.
+    bool finishAnswer(boost::asio::ip::tcp::socket& socket, const scripted_answer& answer);
     void sendWithoutEnd(boost::asio::ip::tcp::socket& socket, const std::string& repeated);
 
     boost::asio::io_context m_context;
@@ -71,6 +79,9 @@
     std::atomic<int> m_abandoned { 0 };
     std::atomic<size_t> m_bytesSent { 0 };
     std::atomic<bool> m_isDown { false };
+    std::atomic<bool> m_isSilent { false };
+    std::atomic<bool> m_closesWithReset { false };
+    std::atomic<int> m_restarts { 0 };
     std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
 };
