--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -103,12 +103,12 @@
         return request_rejection { 503, "leaving", retryAfterLeaving };
     setDeadlineAndRetryLimits(call);
     call.service = Catalog::chooseService(*call.route, Common::uniformUnit(state.scheduler.random));
-    call.wholeRequest = Quarantine::wholeRequestHash({ call.service, call.account, call.request.method, call.request.target, call.request.body });
+    call.wholeRequest = Quarantine::wholeRequestFingerprint({ call.service, call.account, call.request.method, call.request.target, call.request.body });
     if (call.facts.model)
-        call.sharedParts = Quarantine::sharedParts(call.service, *call.facts.model);
-    const Quarantine::part_verdict verdict = Quarantine::judgeRequest(state.quarantine, call.sharedParts, call.arrived);
+        call.fingerprints = Quarantine::sharedParts(call.service, *call.facts.model);
+    const Quarantine::quarantine_verdict verdict = Quarantine::judgeRequest(state.quarantine, call.fingerprints, call.arrived);
     if (verdict.refusedFor)
-        return request_rejection { 503, "prompt_part_quarantined", verdict.refusedFor };
+        return request_rejection { 503, "request_quarantined", verdict.refusedFor };
     call.isTrial = verdict.isTrial;
     Limits::countRequest(state.serviceRetries, call.service, call.arrived);
     return chargeAllowance(state, call);
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -47,9 +47,9 @@
     const Catalog::route* route { nullptr };
     Common::account_id account;
     Common::service_name service;
-    std::vector<Quarantine::part_hash> sharedParts; ///< Of its prompt; empty for plain requests.
-    Quarantine::part_hash wholeRequest; ///< Hash by which the request is recognised when it comes again.
-    bool isTrial { false }; ///< It has a quarantined prompt part and was let through.
+    std::vector<Quarantine::fingerprint> fingerprints; ///< Of its shared prompt parts; empty for plain requests.
+    Quarantine::fingerprint wholeRequest; ///< Hash by which the request is recognised when it comes again.
+    bool isTrial { false }; ///< It has a quarantined fingerprint and was let through.
     uint32_t urgency { 0 }; ///< 0 is the most urgent.
     double allowanceTaken { 0 }; ///< Charged to the account's allowance, in requests or tokens.
     std::optional<Quota::grant> refusedGrant; ///< Set if the account's allowance was exceeded.
--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -28,7 +28,7 @@
     }
 
     /// @return hashes of the same parts, as the nodes exchange them.
-    std::vector<std::string> sharedPartHashes(const std::vector<Quarantine::part_hash>& parts)
+    std::vector<std::string> sharedFingerprints(const std::vector<Quarantine::fingerprint>& parts)
     {
         std::vector<std::string> hashes;
         for (size_t part = parts.size() - std::min(parts.size(), maxLoggedParts); part < parts.size(); ++part)
@@ -76,7 +76,7 @@
         fields["ms_after_head"] = std::llround(toMs(now - *current.headReceived));
     if (call.facts.model) {
         fields["shared_parts"] = sharedPartIds(*call.facts.model);
-        fields["part_hashes"] = sharedPartHashes(call.sharedParts);
+        fields["fingerprints"] = sharedFingerprints(call.fingerprints);
     }
     Common::logEvent(Common::log_level::Info, "attempt_broken", std::move(fields));
 }
--- a/Source/Core/Gateway/CrashWatch.cpp
+++ b/Source/Core/Gateway/CrashWatch.cpp
@@ -21,9 +21,9 @@
         return current.headReceived && isSuccess(current.status) && now - *current.headReceived <= Quarantine::maxResponseAge;
     }
 
-    void logChange(const Quarantine::part_event& event)
+    void logChange(const Quarantine::suspect_event& event)
     {
-        Common::logEvent(Common::log_level::Info, "prompt_part_changed", { { "part", Common::toHex(event.part.value) }, { "change", Quarantine::nameOf(event.change) }, { "crashes", event.crashes } });
+        Common::logEvent(Common::log_level::Info, "fingerprint_changed", { { "fingerprint", Common::toHex(event.subject.value) }, { "change", Quarantine::nameOf(event.change) }, { "crashes", event.crashes } });
     }
 
 } // namespace
@@ -51,7 +51,7 @@
 void crash_watch::attemptAnswered(const proxied_call& call, Common::instant now)
 {
     const attempt& current = *call.currentAttempt;
-    Quarantine::recordAnswer(m_state.quarantine, call.sharedParts, now);
+    Quarantine::recordAnswer(m_state.quarantine, call.fingerprints, now);
     if (current.headReceived)
         Quarantine::clearStillUp(m_state.crashEvidence, { current.placement.endpoint, current.started }, *current.headReceived);
 }
@@ -64,7 +64,7 @@
     checkOnce(start, current.placement.address, now);
     if (!brokeAtItsBeginning(current, now))
         return;
-    std::vector<Quarantine::part_hash> unproven = Quarantine::unprovenParts(m_state.quarantine, call.sharedParts, now);
+    std::vector<Quarantine::fingerprint> unproven = Quarantine::unprovenAmong(m_state.quarantine, call.fingerprints, now);
     if (!unproven.empty())
         Quarantine::addBrokenResponse(m_state.crashEvidence, { start, std::move(unproven), now });
 }
@@ -93,7 +93,7 @@
 
 void crash_watch::flush()
 {
-    for (const Quarantine::part_event& event : std::exchange(m_state.quarantine.events, {}))
+    for (const Quarantine::suspect_event& event : std::exchange(m_state.quarantine.events, {}))
         logChange(event);
     for (Quarantine::outgoing_statement& statement : std::exchange(m_state.quarantine.outgoing, {})) {
         if (m_send)
--- a/Source/Core/Gateway/CrashWatch.h
+++ b/Source/Core/Gateway/CrashWatch.h
@@ -2,7 +2,7 @@
 
 /// @file
 /// Tells endpoints that went down from endpoints that broke off a single response, and records for the quarantine which
-/// prompt parts were involved: after a broken attempt it checks whether the endpoint still accepts connections.
+/// fingerprints were involved: after a broken attempt it checks whether the endpoint still accepts connections.
 
 #include "Gateway/Call.h"
 #include "Gateway/EndpointCheck.h"
@@ -15,7 +15,7 @@
 
 class crash_watch {
 public:
-    /// Tells other nodes about a prompt part.
+    /// Tells other nodes about a fingerprint.
     using statement_sender = std::function<void(Quarantine::outgoing_statement&&)>;
 
     /// @param context runs the checks.
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -498,7 +498,7 @@
     self.settings = std::move(settings);
     self.outlets = std::move(outlets);
     self.state = makeGatewayState(self.settings.facts, self.settings.seed);
-    self.crashes.setSender(self.outlets.sendPartStatement);
+    self.crashes.setSender(self.outlets.sendQuarantineStatement);
     self.setSessionEvents();
     self.inbox.setWaker([&self] { boost::asio::post(self.context, [&self] { self.handleMessages(); }); });
 }
--- a/Source/Core/Gateway/GatewayDuty.h
+++ b/Source/Core/Gateway/GatewayDuty.h
@@ -19,8 +19,8 @@
     std::function<void(attempt_report&&)> reportAttempt; ///< Only for services with a rollout; may be empty.
     /// The node leaves, and every later response closes its connection; may be empty.
     std::function<void()> leaveStarted;
-    /// Tells other nodes about a prompt part; may be empty.
-    std::function<void(Quarantine::outgoing_statement&&)> sendPartStatement;
+    /// Tells other nodes about a fingerprint; may be empty.
+    std::function<void(Quarantine::outgoing_statement&&)> sendQuarantineStatement;
     /// An endpoint said for the first time, in a response, that it is leaving; may be empty.
     std::function<void(const Common::endpoint_id&, Fleet::start_time)> endpointLeaving {};
 };
--- a/Source/Core/Gateway/GatewayState.cpp
+++ b/Source/Core/Gateway/GatewayState.cpp
@@ -81,7 +81,7 @@
     state.versionShares[message.service] = message;
 }
 
-void applyMessage(gateway_state& state, const part_statement_received& message, Common::instant now)
+void applyMessage(gateway_state& state, const quarantine_statement_received& message, Common::instant now)
 {
     Quarantine::applyStatement(state.quarantine, message.from, message.statement, now);
 }
--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -6,7 +6,7 @@
 #include "Fleet/NodeFacts.h"
 #include "Gateway/Messages.h"
 #include "Limits/ServiceRetryBudget.h"
-#include "Quarantine/PartQuarantine.h"
+#include "Quarantine/RequestQuarantine.h"
 #include "Scheduling/Scheduler.h"
 
 #include <map>
@@ -46,7 +46,7 @@
 void applyMessage(gateway_state& state, const peers_update& message, Common::instant now);
 void applyMessage(gateway_state& state, const grants_received& message, Common::instant now);
 void applyMessage(gateway_state& state, const version_share_update& message, Common::instant now);
-void applyMessage(gateway_state& state, const part_statement_received& message, Common::instant now);
+void applyMessage(gateway_state& state, const quarantine_statement_received& message, Common::instant now);
 void applyMessage(gateway_state& state, const leave_started& message, Common::instant now);
 
 /// Ends the current report interval and starts the next.
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -6,7 +6,7 @@
 #include "Catalog/Catalog.h"
 #include "Common/Ids.h"
 #include "Fleet/EndpointRegistry.h"
-#include "Quarantine/PartQuarantine.h"
+#include "Quarantine/RequestQuarantine.h"
 #include "Quota/Quota.h"
 #include "Scaling/Demand.h"
 #include "Scheduling/Scheduler.h"
@@ -45,16 +45,16 @@
     uint32_t thousandths { 0 }; ///< Its share of the requests.
 };
 
-/// Another node's statement about a prompt part.
-struct part_statement_received {
+/// Another node's statement about a fingerprint.
+struct quarantine_statement_received {
     Common::node_id from;
-    Quarantine::part_statement statement;
+    Quarantine::quarantine_statement statement;
 };
 
 /// This node starts to leave the cluster and drains its requests.
 struct leave_started { };
 
-using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, grants_received, version_share_update, part_statement_received, leave_started>;
+using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, grants_received, version_share_update, quarantine_statement_received, leave_started>;
 
 /// The start or end of an attempt, from which a rollout evaluates the version.
 struct attempt_report {
--- a/Source/Core/Membership/PeerCodec.cpp
+++ b/Source/Core/Membership/PeerCodec.cpp
@@ -248,22 +248,22 @@
     return report;
 }
 
-void encodePartStatement(const Quarantine::part_statement& item, filbertreel::peer::prompt_part_statement& record)
+void encodeQuarantineStatement(const Quarantine::quarantine_statement& item, filbertreel::peer::quarantine_statement& record)
 {
     record.set_kind(static_cast<uint32_t>(item.kind));
-    record.set_part(item.part.value);
+    record.set_fingerprint(item.subject.value);
     record.set_endpoint(item.crashed.endpoint.value);
     record.set_started_ms(item.crashed.started.value);
     record.set_age_ms(static_cast<uint32_t>(item.age.count()));
     record.set_trials(item.trials);
 }
 
-std::optional<Quarantine::part_statement> decodePartStatement(const filbertreel::peer::prompt_part_statement& record)
+std::optional<Quarantine::quarantine_statement> decodeQuarantineStatement(const filbertreel::peer::quarantine_statement& record)
 {
     const auto kind = static_cast<Quarantine::statement_kind>(record.kind());
     if (kind != Quarantine::statement_kind::Crash && kind != Quarantine::statement_kind::Sound && kind != Quarantine::statement_kind::Quarantined)
         return {};
-    Quarantine::part_statement item { kind, { record.part() } };
+    Quarantine::quarantine_statement item { kind, { record.fingerprint() } };
     item.crashed = { { record.endpoint() }, { record.started_ms() } };
     item.age = Quarantine::milliseconds(record.age_ms());
     item.trials = record.trials();
--- a/Source/Core/Membership/PeerCodec.h
+++ b/Source/Core/Membership/PeerCodec.h
@@ -7,7 +7,7 @@
 #include "Dispatch/Messages.h"
 #include "Endpoints/EndpointTable.h"
 #include "Membership/Members.h"
-#include "Quarantine/PartQuarantine.h"
+#include "Quarantine/RequestQuarantine.h"
 #include "Quota/Quota.h"
 #include "Scaling/Demand.h"
 #include "Store/ChangeRelay.h"
@@ -19,7 +19,7 @@
 class load_digest;
 class member_record;
 class request_handover;
-class prompt_part_statement;
+class quarantine_statement;
 class rollout_evidence;
 class table_changes;
 }
@@ -91,12 +91,12 @@
 /// @return the report.
 Quota::node_report decodeGrants(const Common::node_id& node, Common::incarnation_number incarnation, const filbertreel::peer::grant_report& record);
 
-/// @param item a statement about a prompt part.
+/// @param item a statement about a fingerprint.
 /// @param record receives the encoded statement.
-void encodePartStatement(const Quarantine::part_statement& item, filbertreel::peer::prompt_part_statement& record);
+void encodeQuarantineStatement(const Quarantine::quarantine_statement& item, filbertreel::peer::quarantine_statement& record);
 /// @param record a statement as received.
 /// @return the statement; empty if its kind is unknown.
-std::optional<Quarantine::part_statement> decodePartStatement(const filbertreel::peer::prompt_part_statement& record);
+std::optional<Quarantine::quarantine_statement> decodeQuarantineStatement(const filbertreel::peer::quarantine_statement& record);
 
 /// @param item the demand that this node received.
 /// @param record receives the encoded demand.
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -254,10 +254,10 @@
         sendTo(message.receiver, outgoing);
     }
 
-    void handle(push_part_statement&& message)
+    void handle(push_quarantine_statement&& message)
     {
         envelope outgoing;
-        encodePartStatement(message.item.statement, *outgoing.mutable_prompt_part_statement());
+        encodeQuarantineStatement(message.item.statement, *outgoing.mutable_quarantine_statement());
         if (message.item.receiver)
             return sendTo(*message.item.receiver, outgoing);
         sendToAllAlive(outgoing);
@@ -346,11 +346,11 @@
             outlets.usageCountsReceived(sender, body.sequence(), std::move(rows));
     }
 
-    void handlePartStatement(const Common::node_id& sender, const filbertreel::peer::prompt_part_statement& record)
+    void handleQuarantineStatement(const Common::node_id& sender, const filbertreel::peer::quarantine_statement& record)
     {
-        const std::optional<Quarantine::part_statement> statement = decodePartStatement(record);
-        if (statement && outlets.partStatementReceived)
-            outlets.partStatementReceived(sender, *statement);
+        const std::optional<Quarantine::quarantine_statement> statement = decodeQuarantineStatement(record);
+        if (statement && outlets.quarantineStatementReceived)
+            outlets.quarantineStatementReceived(sender, *statement);
     }
 
     void handleEnvelope(const envelope& message)
@@ -397,8 +397,8 @@
             return outlets.catalogReceived(message.catalog_text().version(), std::string(message.catalog_text().text()));
         case envelope::kRelayedTables:
             return handleTableChanges(sender, message.relayed_tables());
-        case envelope::kPromptPartStatement:
-            return handlePartStatement(sender, message.prompt_part_statement());
+        case envelope::kQuarantineStatement:
+            return handleQuarantineStatement(sender, message.quarantine_statement());
         case envelope::kUsageCounts:
             return handleUsageCounts(sender, message.usage_counts());
         case envelope::kUsageCountsWritten:
--- a/Source/Core/Membership/PeerDuty.h
+++ b/Source/Core/Membership/PeerDuty.h
@@ -8,7 +8,7 @@
 #include "Dispatch/Messages.h"
 #include "Endpoints/EndpointTable.h"
 #include "Membership/Members.h"
-#include "Quarantine/PartQuarantine.h"
+#include "Quarantine/RequestQuarantine.h"
 #include "Quota/Quota.h"
 #include "Rollout/Rollout.h"
 #include "Scaling/Demand.h"
@@ -99,8 +99,8 @@
     Rollout::broadcast_latch latch;
 };
 
-/// Send one peer or all of them what this node has found out about a prompt part.
-struct push_part_statement {
+/// Send one peer or all of them what this node has found out about a fingerprint.
+struct push_quarantine_statement {
     Quarantine::outgoing_statement item;
 };
 
@@ -127,7 +127,7 @@
 };
 
 using peer_message = std::variant<seeds_changed, configuration_changed, leave_started, push_changes, pull_changes, reply_changes,
-    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog, push_table_changes, push_usage_counts, confirm_usage_counts, push_part_statement>;
+    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog, push_table_changes, push_usage_counts, confirm_usage_counts, push_quarantine_statement>;
 
 /// Callbacks for what the duty receives and finds. They run on the duty's thread and must not block.
 struct peer_outlets {
@@ -149,7 +149,7 @@
     /// A peer has sent usage counts, as rows with key and value.
     std::function<void(const Common::node_id& peer, uint64_t sequence, std::vector<std::pair<std::string, std::string>>&& rows)> usageCountsReceived;
     std::function<void(uint64_t sequence)> usageCountsConfirmed;
-    std::function<void(const Common::node_id& peer, const Quarantine::part_statement&)> partStatementReceived; ///< May be empty.
+    std::function<void(const Common::node_id& peer, const Quarantine::quarantine_statement&)> quarantineStatementReceived; ///< May be empty.
 };
 
 struct peer_settings {
--- a/Source/Core/Membership/Tests/PeerCodecTest.cpp
+++ b/Source/Core/Membership/Tests/PeerCodecTest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 using namespace Membership;
-using Quarantine::part_statement;
+using Quarantine::quarantine_statement;
 using Quarantine::statement_kind;
 
 } // namespace
@@ -20,29 +20,29 @@
 TEST(PeerCodec, AStatementAboutAPromptPartArrivesAsItWasSentInSixtyBytes)
 {
     constexpr size_t maxBytes = 60;
-    const part_statement rows[] = {
+    const quarantine_statement rows[] = {
         { statement_kind::Crash, { 0xffffffffffffffff }, { { "i-0123456789" }, { 1792817495870 } }, Quarantine::milliseconds(6000), 0 },
         { statement_kind::Sound, { 1 }, {}, {}, 0 },
         { statement_kind::Quarantined, { 2 }, {}, Quarantine::milliseconds(600000), 7 },
     };
-    for (const part_statement& item : rows) {
-        filbertreel::peer::prompt_part_statement record;
-        encodePartStatement(item, record);
+    for (const quarantine_statement& item : rows) {
+        filbertreel::peer::quarantine_statement record;
+        encodeQuarantineStatement(item, record);
         CHECK_TRUE(record.ByteSizeLong() <= maxBytes);
-        const std::optional<part_statement> received = decodePartStatement(record);
+        const std::optional<quarantine_statement> received = decodeQuarantineStatement(record);
         CHECK_TRUE(received.has_value());
-        CHECK_TRUE(received->kind == item.kind && received->part == item.part && received->crashed == item.crashed);
+        CHECK_TRUE(received->kind == item.kind && received->subject == item.subject && received->crashed == item.crashed);
         CHECK_TRUE(received->age == item.age && received->trials == item.trials);
     }
 }
 
 TEST(PeerCodec, AStatementOfAKindThatIsNotKnownIsIgnored)
 {
-    filbertreel::peer::prompt_part_statement record;
-    record.set_part(1);
+    filbertreel::peer::quarantine_statement record;
+    record.set_fingerprint(1);
     for (const uint32_t kind : { 0U, 4U, 0xffffffffU }) {
         record.set_kind(kind);
-        CHECK_FALSE(decodePartStatement(record).has_value());
+        CHECK_FALSE(decodeQuarantineStatement(record).has_value());
     }
 }
 
--- a/Source/Core/Quarantine/CrashEvidence.cpp
+++ b/Source/Core/Quarantine/CrashEvidence.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-part_hash wholeRequestHash(const request_identity& identity)
+fingerprint wholeRequestFingerprint(const request_identity& identity)
 {
     uint64_t hash = Common::hash64(identity.service.value);
     for (const std::string_view text : { std::string_view(identity.account.value), identity.method, identity.target, identity.body })
@@ -33,15 +33,15 @@
     return { hash };
 }
 
-std::vector<part_hash> sharedParts(const Common::service_name& service, const Scheduling::model_request& model)
+std::vector<fingerprint> sharedParts(const Common::service_name& service, const Scheduling::model_request& model)
 {
-    std::vector<part_hash> parts;
+    std::vector<fingerprint> fingerprints;
     if (model.parts.empty())
-        return parts;
+        return fingerprints;
     const uint64_t seed = Common::hash64(service.value);
     for (auto part = model.parts.begin(); part != std::prev(model.parts.end()); ++part)
-        parts.push_back({ Common::hash64(part->id, seed) });
-    return parts;
+        fingerprints.push_back({ Common::hash64(part->id, seed) });
+    return fingerprints;
 }
 
 void addBrokenResponse(crash_evidence& evidence, broken_response response)
--- a/Source/Core/Quarantine/CrashEvidence.h
+++ b/Source/Core/Quarantine/CrashEvidence.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// Tells which broken responses come from an endpoint that went down, and which prompt parts their requests carried.
-/// Reads no clock and no socket.
+/// Tells which broken responses come from an endpoint that went down, and the fingerprints of their requests. Reads no clock
+/// and no socket.
 
 #include "Fleet/EndpointRegistry.h"
 #include "Scheduling/Work.h"
@@ -16,8 +16,8 @@
 
 using std::chrono::milliseconds;
 
-/// Hash of a service and a prompt part; the same on every node.
-using part_hash = Common::strong_type<struct part_hash_tag, uint64_t>;
+/// Hash of a service and a prompt part, or of a whole request; the same on every node.
+using fingerprint = Common::strong_type<struct fingerprint_tag, uint64_t>;
 
 /// One run of an endpoint.
 struct endpoint_start {
@@ -37,17 +37,17 @@
 };
 
 /// @return a hash of the whole request, the same on every node.
-part_hash wholeRequestHash(const request_identity& identity);
+fingerprint wholeRequestFingerprint(const request_identity& identity);
 
 /// @param service that runs the request.
 /// @param model the request's prompt parts.
 /// @return the parts that other requests may share: all but the last.
-std::vector<part_hash> sharedParts(const Common::service_name& service, const Scheduling::model_request& model);
+std::vector<fingerprint> sharedParts(const Common::service_name& service, const Scheduling::model_request& model);
 
 /// A response that broke off shortly after it began.
 struct broken_response {
     endpoint_start start;
-    std::vector<part_hash> parts; ///< Of the request.
+    std::vector<fingerprint> fingerprints; ///< Of the request.
     Common::instant brokenAt;
 };
 
@@ -56,7 +56,7 @@
     std::deque<broken_response> pending;
 };
 
-/// A response that broke off later than this after its head doesn't count against the request's parts.
+/// A response that broke off later than this after its head doesn't count against the request's fingerprints.
 constexpr milliseconds maxResponseAge { 1000 };
 /// A broken response whose endpoint stays up for this time is forgotten. Covers the time after which a listing no longer
 /// contains an endpoint that went down.
--- a/Source/Core/Quarantine/Tests/CrashDay.h
+++ b/Source/Core/Quarantine/Tests/CrashDay.h
@@ -4,7 +4,7 @@
 /// A day on a virtual clock on which requests that belong together crash every endpoint that runs them.
 
 #include "Common/Random.h"
-#include "Quarantine/PartQuarantine.h"
+#include "Quarantine/RequestQuarantine.h"
 
 #include <map>
 #include <string>
@@ -72,16 +72,16 @@
     bool isCrashing;
     bool isRetry;
     bool isTrial;
-    std::vector<part_hash> parts;
+    std::vector<fingerprint> fingerprints;
 };
 
 struct delivery {
     size_t from;
     size_t to;
-    part_statement statement;
+    quarantine_statement statement;
 };
 
-inline const part_hash crashingPart { 99 };
+inline const fingerprint crashingPart { 99 };
 
 /// Nodes, endpoints and requests on a clock that advances by one millisecond.
 struct crash_day {
@@ -92,7 +92,7 @@
     std::multimap<int, running_request> ends; ///< By the time at which the response ends or breaks off.
     std::multimap<int, std::pair<size_t, broken_response>> checks;
     std::multimap<int, delivery> deliveries;
-    std::set<part_hash> refusedSound;
+    std::set<fingerprint> refusedSound;
     day_result result;
     int nowMs { 0 };
 
@@ -178,12 +178,12 @@
 
     void arrive(bool isCrashing)
     {
-        const part_hash first { choose(4) };
+        const fingerprint first { choose(4) };
         running_request request {};
         request.node = choose(plan.nodes);
         request.isCrashing = isCrashing;
-        request.parts = { first, isCrashing ? crashingPart : part_hash { 100 + choose(plan.soundParts) } };
-        const part_verdict verdict = judgeRequest(nodes[request.node], request.parts, at(nowMs));
+        request.fingerprints = { first, isCrashing ? crashingPart : fingerprint { 100 + choose(plan.soundParts) } };
+        const quarantine_verdict verdict = judgeRequest(nodes[request.node], request.fingerprints, at(nowMs));
         if (!isCrashing)
             countSound(request, verdict.refusedFor.has_value());
         request.isTrial = verdict.isTrial;
@@ -197,7 +197,7 @@
         if (!isRefused)
             return;
         ++result.soundRefused;
-        refusedSound.insert(request.parts[1]);
+        refusedSound.insert(request.fingerprints[1]);
     }
 
     void end(const running_request& request)
@@ -211,10 +211,10 @@
         }
         const bool isBroken = request.isCrashing || !isUp || happens(plan.tornShare);
         if (!isBroken)
-            return recordAnswer(nodes[request.node], request.parts, at(nowMs));
-        const broken_response response { { { std::to_string(request.endpoint) }, { request.started } }, request.parts, at(nowMs) };
+            return recordAnswer(nodes[request.node], request.fingerprints, at(nowMs));
+        const broken_response response { { { std::to_string(request.endpoint) }, { request.started } }, request.fingerprints, at(nowMs) };
         checks.emplace(nowMs + downCheckMs, std::pair(request.node, response));
-        if (request.isRetry || !maySendElsewhere(nodes[request.node], request.parts, true, request.isTrial))
+        if (request.isRetry || !maySendElsewhere(nodes[request.node], request.fingerprints, true, request.isTrial))
             return;
         running_request repeated = request;
         repeated.isRetry = true;
--- a/Source/Core/Quarantine/Tests/CrashEvidenceTest.cpp
+++ b/Source/Core/Quarantine/Tests/CrashEvidenceTest.cpp
@@ -77,7 +77,7 @@
     Scheduling::model_request model;
     CHECK_EQUAL(0U, sharedParts({ "s" }, model).size());
     model.parts = { { "a", 1 }, { "b", 1 }, { "own", 1 } };
-    const std::vector<part_hash> parts = sharedParts({ "s" }, model);
-    CHECK_EQUAL(2U, parts.size());
-    CHECK_TRUE(parts != sharedParts({ "t" }, model));
+    const std::vector<fingerprint> fingerprints = sharedParts({ "s" }, model);
+    CHECK_EQUAL(2U, fingerprints.size());
+    CHECK_TRUE(fingerprints != sharedParts({ "t" }, model));
 }
--- a/Source/Core/Quarantine/Tests/PartQuarantineTest.cpp
+++ b/Source/Core/Quarantine/Tests/RequestQuarantineTest.cpp
@@ -1,7 +1,7 @@
 /// @file
-/// When a prompt part is quarantined, who may try it again, and what is kept about it.
+/// When requests with a fingerprint are quarantined, who may try it again, and what is kept about it.
 
-#include "Quarantine/PartQuarantine.h"
+#include "Quarantine/RequestQuarantine.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,21 +9,21 @@
 
 using namespace Quarantine;
 
-const part_hash bad { 7 };
+const fingerprint bad { 7 };
 
 Common::instant at(int64_t ms)
 {
     return Common::instant(std::chrono::hours(1)) + milliseconds(ms);
 }
 
-broken_response crashOf(int endpoint, int64_t ms, std::vector<part_hash> parts = { bad })
+broken_response crashOf(int endpoint, int64_t ms, std::vector<fingerprint> fingerprints = { bad })
 {
-    return { { { "e" + std::to_string(endpoint) }, { 1 } }, std::move(parts), at(ms) };
+    return { { { "e" + std::to_string(endpoint) }, { 1 } }, std::move(fingerprints), at(ms) };
 }
 
-bool isRefused(quarantine_state& state, int64_t ms, std::vector<part_hash> parts = { bad })
+bool isRefused(quarantine_state& state, int64_t ms, std::vector<fingerprint> fingerprints = { bad })
 {
-    return judgeRequest(state, parts, at(ms)).refusedFor.has_value();
+    return judgeRequest(state, fingerprints, at(ms)).refusedFor.has_value();
 }
 
 quarantine_state makeQuarantined()
@@ -37,9 +37,9 @@
 
 } // namespace
 
-TEST_GROUP(PartQuarantine) {};
+TEST_GROUP(RequestQuarantine) {};
 
-TEST(PartQuarantine, APartIsRefusedOnlyAfterCrashesOfSeveralEndpointsWithoutAnAnswer)
+TEST(RequestQuarantine, APartIsRefusedOnlyAfterCrashesOfSeveralEndpointsWithoutAnAnswer)
 {
     struct crash {
         int endpoint;
@@ -82,9 +82,9 @@
     }
 }
 
-TEST(PartQuarantine, SoundPartsOfTheSameRequestsAreNotRefused)
+TEST(RequestQuarantine, SoundPartsOfTheSameRequestsAreNotRefused)
 {
-    const part_hash first { 1 };
+    const fingerprint first { 1 };
     quarantine_state state;
     recordAnswer(state, { first }, at(0));
     for (int endpoint = 0; endpoint < 5; ++endpoint)
@@ -93,7 +93,7 @@
     CHECK_FALSE(isRefused(state, 3000, { first }));
 }
 
-TEST(PartQuarantine, APartThatWasAnsweredLongAgoCanBeQuarantined)
+TEST(RequestQuarantine, APartThatWasAnsweredLongAgoCanBeQuarantined)
 {
     quarantine_state state;
     recordAnswer(state, { bad }, at(0));
@@ -102,7 +102,7 @@
     CHECK_TRUE(isRefused(state, 32000));
 }
 
-TEST(PartQuarantine, OneNodeTriesAPartLessAndLessOften)
+TEST(RequestQuarantine, OneNodeTriesAPartLessAndLessOften)
 {
     quarantine_state responsible = makeQuarantined();
     quarantine_state other = makeQuarantined();
@@ -126,10 +126,10 @@
     CHECK_EQUAL(5, std::max(trials[0], trials[1]));
 }
 
-TEST(PartQuarantine, ARequestIsRefusedUntilTheNextTrialAndATrialThatIsAnsweredReleasesThePart)
+TEST(RequestQuarantine, ARequestIsRefusedUntilTheNextTrialAndATrialThatIsAnsweredReleasesThePart)
 {
     quarantine_state state = makeQuarantined();
-    const part_verdict verdict = judgeRequest(state, { bad }, at(10400));
+    const quarantine_verdict verdict = judgeRequest(state, { bad }, at(10400));
     CHECK_TRUE(verdict.refusedFor == firstTrialInterval - milliseconds(10000));
     CHECK_TRUE(judgeRequest(state, { bad }, at(61000)).isTrial);
     CHECK_TRUE(isRefused(state, 61001));
@@ -140,30 +140,30 @@
     CHECK_TRUE(state.outgoing.back().statement.kind == statement_kind::Sound);
 }
 
-TEST(PartQuarantine, PartsThatComeTogetherAreTriedTogether)
+TEST(RequestQuarantine, PartsThatComeTogetherAreTriedTogether)
 {
     quarantine_state state;
     state.self = { "n1" };
-    const std::vector<part_hash> both { { 3 }, { 4 } };
+    const std::vector<fingerprint> both { { 3 }, { 4 } };
     for (int endpoint = 0; endpoint < 3; ++endpoint)
         recordCrash(state, crashOf(endpoint, endpoint * 200, both), at(400));
     CHECK_TRUE(judgeRequest(state, both, at(61000)).isTrial);
     CHECK_TRUE(isRefused(state, 62000, both));
 }
 
-TEST(PartQuarantine, APartIsTriedSoonIfAnotherPartExplainsAllItsCrashes)
+TEST(RequestQuarantine, APartIsTriedSoonIfAnotherPartExplainsAllItsCrashes)
 {
-    const part_hash first { 1 };
+    const fingerprint first { 1 };
     struct row {
         const char* condition;
-        std::vector<part_hash> lastCrash;
-        std::vector<part_hash> request;
+        std::vector<fingerprint> lastCrash;
+        std::vector<fingerprint> request;
         bool isTried;
     };
     const row rows[] = {
         { "both came together, the request has one", { first, bad }, { first }, true },
         { "both came together, the request has both", { first, bad }, { first, bad }, false },
-        { "a crash without the other part", { first }, { first }, false },
+        { "a crash without the other subject", { first }, { first }, false },
     };
     for (const row& item : rows) {
         quarantine_state state;
@@ -177,7 +177,7 @@
     }
 }
 
-TEST(PartQuarantine, ANodeThatKnowsAnAnswerObjectsAndTheReporterWithdraws)
+TEST(RequestQuarantine, ANodeThatKnowsAnAnswerObjectsAndTheReporterWithdraws)
 {
     quarantine_state reporter = makeQuarantined();
     reporter.outgoing.clear();
@@ -198,7 +198,7 @@
     CHECK_EQUAL(1U, reporter.outgoing.size());
 }
 
-TEST(PartQuarantine, ANodeThatStartedLaterLearnsWhatIsQuarantined)
+TEST(RequestQuarantine, ANodeThatStartedLaterLearnsWhatIsQuarantined)
 {
     quarantine_state known = makeQuarantined();
     known.outgoing.clear();
@@ -210,15 +210,15 @@
     CHECK_TRUE(isRefused(started, 3001));
 }
 
-TEST(PartQuarantine, MemoryIsBoundedAndPartsAreForgotten)
+TEST(RequestQuarantine, MemoryIsBoundedAndPartsAreForgotten)
 {
     quarantine_state state = makeQuarantined();
     for (uint64_t number = 0; number < 20000; ++number) {
         recordCrash(state, crashOf(1, 1000, { { 1000 + number } }), at(1000));
         recordAnswer(state, { { 100000 + number } }, at(1000));
     }
-    CHECK_EQUAL(maxSuspectParts, state.suspects.size());
-    CHECK_TRUE(state.sound.answeredAt.size() <= maxSoundParts && state.sound.order.size() <= maxSoundParts);
+    CHECK_EQUAL(maxSuspects, state.suspects.size());
+    CHECK_TRUE(state.sound.answeredAt.size() <= maxSoundEntries && state.sound.order.size() <= maxSoundEntries);
     CHECK_TRUE(isRefused(state, 2000));
     refresh(state, at(2000 + suspectRetention.count() + 1));
     CHECK_EQUAL(0U, state.suspects.size());
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -426,8 +426,8 @@
         return "backing_off";
     case refusal_reason::TooLate:
         return "too_late";
-    case refusal_reason::PromptPartQuarantined:
-        return "prompt_part_quarantined";
+    case refusal_reason::PromptRequestQuarantined:
+        return "request_quarantined";
     }
     return "unknown";
 }
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -113,7 +113,7 @@
             static_cast<void>(control.submit(Control::gateway_interval_reported { std::move(report) }));
         };
         outlets.reportAttempt = [this](Gateway::attempt_report&& seen) { static_cast<void>(control.submit(std::move(seen))); };
-        outlets.sendPartStatement = [this](Quarantine::outgoing_statement&& statement) { static_cast<void>(peers.submit(Membership::push_part_statement { std::move(statement) })); };
+        outlets.sendQuarantineStatement = [this](Quarantine::outgoing_statement&& statement) { static_cast<void>(peers.submit(Membership::push_quarantine_statement { std::move(statement) })); };
         // The readiness changes after the gateway has been told: a caller that sees it must not get a response that
         // keeps its connection open.
         outlets.leaveStarted = [this] { directory.setReady(false); };
@@ -180,8 +180,8 @@
         outlets.usageCountsReceived = [this](const Common::node_id& peer, uint64_t sequence, std::vector<std::pair<std::string, std::string>>&& rows) {
             static_cast<void>(control.submit(Control::usage_counts_received { peer, sequence, std::move(rows) }));
         };
-        outlets.partStatementReceived = [this](const Common::node_id& peer, const Quarantine::part_statement& statement) {
-            static_cast<void>(gateway.submit(Gateway::part_statement_received { peer, statement }));
+        outlets.quarantineStatementReceived = [this](const Common::node_id& peer, const Quarantine::quarantine_statement& statement) {
+            static_cast<void>(gateway.submit(Gateway::quarantine_statement_received { peer, statement }));
         };
         outlets.usageCountsConfirmed = [this](uint64_t sequence) { static_cast<void>(control.submit(Control::usage_counts_confirmed { sequence })); };
         outlets.tableChangesReceived = [this](const Common::node_id& peer, std::vector<Store::relayed_changes>&& tables) {
--- a/Tests/Platform/GatewayFleet.cpp
+++ b/Tests/Platform/GatewayFleet.cpp
@@ -76,7 +76,7 @@
     settings.wire = PlatformAdapter::makeWireFormat();
     Gateway::gateway_outlets outlets;
     outlets.report = [](Gateway::interval_report&&) {};
-    outlets.sendPartStatement = [this, node](Quarantine::outgoing_statement&& item) { deliver(node, item); };
+    outlets.sendQuarantineStatement = [this, node](Quarantine::outgoing_statement&& item) { deliver(node, item); };
     auto duty = std::make_unique<Gateway::gateway_duty>(settings, std::move(outlets));
     Gateway::peers_update known;
     for (size_t peer = 0; peer < m_members.size(); ++peer) {
@@ -117,7 +117,7 @@
     for (size_t node = 0; node < m_members.size(); ++node) {
         const bool isMeant = node != from && (!item.receiver || *item.receiver == idOf(node));
         if (isMeant && m_members[node].duty)
-            static_cast<void>(m_members[node].duty->submit(Gateway::part_statement_received { idOf(from), item.statement }));
+            static_cast<void>(m_members[node].duty->submit(Gateway::quarantine_statement_received { idOf(from), item.statement }));
     }
 }
 
