Plain requests have a fingerprint: account, service, method, path, query and body

Cause (hypothesis A): only prompts had something to be recognised by; a plain request had none, so no crash was ever counted for it, at any node.

Change: fingerprintsOf() gives every request a fingerprint of its own and those of its shared prompt parts. Judgement, retries, trials and messages between nodes are as they were.

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -103,9 +103,7 @@
         return request_rejection { 503, "leaving", retryAfterLeaving };
     setDeadlineAndRetryLimits(call);
     call.service = Catalog::chooseService(*call.route, Common::uniformUnit(state.scheduler.random));
-    call.wholeRequest = Quarantine::wholeRequestFingerprint({ call.service, call.account, call.request.method, call.request.target, call.request.body });
-    if (call.facts.model)
-        call.fingerprints = Quarantine::sharedParts(call.service, *call.facts.model);
+    call.fingerprints = Quarantine::fingerprintsOf({ call.service, call.account, call.request.method, call.request.target, call.request.body }, call.facts.model ? &*call.facts.model : nullptr);
     const Quarantine::quarantine_verdict verdict = Quarantine::judgeRequest(state.quarantine, call.fingerprints, call.arrived);
     if (verdict.refusedFor)
         return request_rejection { 503, "request_quarantined", verdict.refusedFor };
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -47,8 +47,7 @@
     const Catalog::route* route { nullptr };
     Common::account_id account;
     Common::service_name service;
-    std::vector<Quarantine::fingerprint> fingerprints; ///< Of its shared prompt parts; empty for plain requests.
-    Quarantine::fingerprint wholeRequest; ///< Hash by which the request is recognised when it comes again.
+    std::vector<Quarantine::fingerprint> fingerprints; ///< Of the whole request first.
     bool isTrial { false }; ///< It has a quarantined fingerprint and was let through.
     uint32_t urgency { 0 }; ///< 0 is the most urgent.
     double allowanceTaken { 0 }; ///< Charged to the account's allowance, in requests or tokens.
--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -27,13 +27,16 @@
         return ids;
     }
 
-    /// @return hashes of the same parts, as the nodes exchange them.
-    std::vector<std::string> sharedFingerprints(const std::vector<Quarantine::fingerprint>& parts)
+    /// @return the fingerprint of the whole request, then those of the same parts.
+    std::vector<std::string> fingerprintTexts(const std::vector<Quarantine::fingerprint>& fingerprints)
     {
-        std::vector<std::string> hashes;
-        for (size_t part = parts.size() - std::min(parts.size(), maxLoggedParts); part < parts.size(); ++part)
-            hashes.push_back(Common::toHex(parts[part].value));
-        return hashes;
+        std::vector<std::string> texts;
+        if (fingerprints.empty())
+            return texts;
+        texts.push_back(Common::toHex(fingerprints.front().value));
+        for (size_t part = fingerprints.size() - std::min(fingerprints.size() - 1, maxLoggedParts); part < fingerprints.size(); ++part)
+            texts.push_back(Common::toHex(fingerprints[part].value));
+        return texts;
     }
 
     /// Adds what tells which bytes an attempt's response was made of.
@@ -70,14 +73,12 @@
     const attempt& current = *call.currentAttempt;
     nlohmann::json fields { { "request", call.facts.attemptId }, { "endpoint", current.placement.endpoint.value }, { "status", current.status }, { "others_in_flight", othersInFlight } };
     fields["route"] = call.route->name.value;
-    fields["fingerprint"] = Common::toHex(call.wholeRequest.value);
+    fields["fingerprints"] = fingerprintTexts(call.fingerprints);
     fields["ms_after_start"] = std::llround(toMs(now - current.begun));
     if (current.headReceived)
         fields["ms_after_head"] = std::llround(toMs(now - *current.headReceived));
-    if (call.facts.model) {
+    if (call.facts.model)
         fields["shared_parts"] = sharedPartIds(*call.facts.model);
-        fields["fingerprints"] = sharedFingerprints(call.fingerprints);
-    }
     Common::logEvent(Common::log_level::Info, "attempt_broken", std::move(fields));
 }
 
@@ -87,7 +88,7 @@
     fields["catalog"] = call.catalog ? call.catalog->version : 0;
     if (call.route) {
         fields["route"] = call.route->name.value;
-        fields["fingerprint"] = Common::toHex(call.wholeRequest.value);
+        fields["fingerprints"] = fingerprintTexts(call.fingerprints);
     }
     if (!call.account.value.empty())
         fields["account"] = call.account.value;
--- a/Source/Core/Quarantine/CrashEvidence.cpp
+++ b/Source/Core/Quarantine/CrashEvidence.cpp
@@ -1,8 +1,5 @@
 #include "Quarantine/CrashEvidence.h"
 
-#include "Common/Hash.h"
-
-#include <iterator>
 #include <utility>
 
 namespace Quarantine {
@@ -25,25 +22,6 @@
 
 } // namespace
 
-fingerprint wholeRequestFingerprint(const request_identity& identity)
-{
-    uint64_t hash = Common::hash64(identity.service.value);
-    for (const std::string_view text : { std::string_view(identity.account.value), identity.method, identity.target, identity.body })
-        hash = Common::hash64(text, hash);
-    return { hash };
-}
-
-std::vector<fingerprint> sharedParts(const Common::service_name& service, const Scheduling::model_request& model)
-{
-    std::vector<fingerprint> fingerprints;
-    if (model.parts.empty())
-        return fingerprints;
-    const uint64_t seed = Common::hash64(service.value);
-    for (auto part = model.parts.begin(); part != std::prev(model.parts.end()); ++part)
-        fingerprints.push_back({ Common::hash64(part->id, seed) });
-    return fingerprints;
-}
-
 void addBrokenResponse(crash_evidence& evidence, broken_response response)
 {
     if (evidence.pending.size() >= maxPendingResponses)
--- a/Source/Core/Quarantine/CrashEvidence.h
+++ b/Source/Core/Quarantine/CrashEvidence.h
@@ -5,20 +5,16 @@
 /// and no socket.
 
 #include "Fleet/EndpointRegistry.h"
-#include "Scheduling/Work.h"
+#include "Quarantine/Fingerprint.h"
 
 #include <compare>
 #include <deque>
-#include <string_view>
 #include <vector>
 
 namespace Quarantine {
 
 using std::chrono::milliseconds;
 
-/// Hash of a service and a prompt part, or of a whole request; the same on every node.
-using fingerprint = Common::strong_type<struct fingerprint_tag, uint64_t>;
-
 /// One run of an endpoint.
 struct endpoint_start {
     Common::endpoint_id endpoint;
@@ -27,23 +23,6 @@
     friend auto operator<=>(const endpoint_start&, const endpoint_start&) = default;
 };
 
-/// What is the same each time a caller sends a request again.
-struct request_identity {
-    Common::service_name service;
-    Common::account_id account;
-    std::string_view method;
-    std::string_view target; ///< Path and query.
-    std::string_view body;
-};
-
-/// @return a hash of the whole request, the same on every node.
-fingerprint wholeRequestFingerprint(const request_identity& identity);
-
-/// @param service that runs the request.
-/// @param model the request's prompt parts.
-/// @return the parts that other requests may share: all but the last.
-std::vector<fingerprint> sharedParts(const Common::service_name& service, const Scheduling::model_request& model);
-
 /// A response that broke off shortly after it began.
 struct broken_response {
     endpoint_start start;
--- a/Source/Core/Quarantine/Tests/CrashEvidenceTest.cpp
+++ b/Source/Core/Quarantine/Tests/CrashEvidenceTest.cpp
@@ -71,13 +71,3 @@
         addBrokenResponse(evidence, { { { "e" }, { 5 } }, { { number } }, at(0) });
     CHECK_EQUAL(maxPendingResponses, evidence.pending.size());
 }
-
-TEST(CrashEvidence, TheLastPartOfAPromptIsNotShared)
-{
-    Scheduling::model_request model;
-    CHECK_EQUAL(0U, sharedParts({ "s" }, model).size());
-    model.parts = { { "a", 1 }, { "b", 1 }, { "own", 1 } };
-    const std::vector<fingerprint> fingerprints = sharedParts({ "s" }, model);
-    CHECK_EQUAL(2U, fingerprints.size());
-    CHECK_TRUE(fingerprints != sharedParts({ "t" }, model));
-}
