Every request that was at an endpoint when it went down counts, weighed against chance

A plain endpoint that crashes sends nothing; a stream may run for longer; an endpoint may fall silent, answer with a failure first, or be started again at once, which the check 100 ms later took for "still up".

Change: every attempt that broke off, failed, ran out of time or was left by its caller is evidence until an answer of that endpoint or the listing settles what became of it. An endpoint that had announced its leaving doesn't count.

With so wide a window a long or frequent innocent request is at many crashes, so a fingerprint is judged by what it has in common over crashes: the probability that as many endpoints go down in the time for which it was at them, at the rate at which the service's endpoints go down without it (Poisson, 1 in 1,000; crashes that a quarantined fingerprint explains are left out). Three crashes within 200 ms count when the request was sent on after a crash: then there is no common cause. The wider window and the weighing belong together, so they are one commit.

The row "three at one moment" of RequestQuarantineTest now says how long the requests had been there (300 ms); its verdict is unchanged.

--- a/Source/Core/Gateway/CrashWatch.h
+++ b/Source/Core/Gateway/CrashWatch.h
@@ -2,7 +2,8 @@
 
 /// @file
 /// Tells endpoints that went down from endpoints that broke off a single response, and records for the quarantine which
-/// fingerprints were involved: after a broken attempt it checks whether the endpoint still accepts connections.
+/// fingerprints were involved: after a broken attempt it checks whether the endpoint still accepts connections. Endpoints
+/// that fall silent or are started again at once are told by the listing.
 
 #include "Gateway/Call.h"
 #include "Gateway/EndpointCheck.h"
@@ -29,19 +30,30 @@
     /// @param outcome of the attempt.
     /// @param now current time.
     void attemptEnded(const proxied_call& call, exchange_end end, attempt_end outcome, Common::instant now);
+    /// @param call a request whose current attempt was cancelled: its time was over, or the caller had gone.
+    /// @param now current time.
+    void attemptGivenUp(const proxied_call& call, Common::instant now);
     /// Sends the statements and logs the changes that the quarantine has collected.
     void flush();
 
 private:
+    /// Of whether an endpoint accepts connections.
+    struct endpoint_check {
+        bool isPending { false };
+        Common::instant nextAt; ///< Earliest time of the next one.
+    };
+
     void attemptAnswered(const proxied_call& call, Common::instant now);
     void attemptBroken(const proxied_call& call, Common::instant now);
-    void checkOnce(const Quarantine::endpoint_start& start, const std::string& address, Common::instant now);
+    void addUnanswered(const proxied_call& call, Common::instant now);
+    void check(const Quarantine::endpoint_start& start, const std::string& address, Common::instant now);
     void handleResult(const Quarantine::endpoint_start& start, endpoint_reachability result);
+    bool isLeaving(const Quarantine::endpoint_start& start) const;
 
     boost::asio::io_context& m_context;
     gateway_state& m_state;
     statement_sender m_send;
-    std::map<Quarantine::endpoint_start, Common::instant> m_checks; ///< In progress, with the time of their connection.
+    std::map<Quarantine::endpoint_start, endpoint_check> m_checks;
 };
 
 } // namespace Gateway
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -403,6 +403,7 @@
             return refuse(call, { 503, "too_late", {} });
         }
         call.currentAttempt->channel->cancel();
+        crashes.attemptGivenUp(call, clockNow());
         recordAttemptEnd(call, attempt_end::TimedOut);
         performStep(call, attempt_end::TimedOut, decideNext(call.progress, attempt_end::TimedOut));
     }
@@ -415,6 +416,7 @@
         proxied_call& call = *found->second;
         if (call.currentAttempt && call.currentAttempt->channel) {
             call.currentAttempt->channel->cancel();
+            crashes.attemptGivenUp(call, clockNow());
             Scheduling::recordEnd(state.scheduler, call.currentAttempt->placement.endpoint, call.currentAttempt->placement.id, Scheduling::placement_end::Abandoned, clockNow());
             reportAttemptEvent(call, attempt_report::event::Abandoned);
         }
--- a/Source/Core/Gateway/GatewayState.cpp
+++ b/Source/Core/Gateway/GatewayState.cpp
@@ -50,10 +50,13 @@
 
 void applyMessage(gateway_state& state, const endpoints_update& message, Common::instant now)
 {
-    for (const Quarantine::broken_response& response : Quarantine::takeVanished(state.crashEvidence, message.endpoints, now))
-        Quarantine::recordCrash(state.quarantine, response, now);
-    for (const auto& [id, endpoint] : message.endpoints)
+    for (const Quarantine::unanswered_request& request : Quarantine::takeVanished(state.crashEvidence, message.endpoints, now))
+        Quarantine::recordCrash(state.quarantine, request, now);
+    state.quarantine.history.endpoints.clear();
+    for (const auto& [id, endpoint] : message.endpoints) {
+        ++state.quarantine.history.endpoints[endpoint.service];
         Scheduling::updateEndpoint(state.scheduler, endpoint, now);
+    }
     std::vector<Common::endpoint_id> gone;
     for (const auto& [id, endpoint] : state.scheduler.endpoints) {
         if (!message.endpoints.contains(id))
--- a/Source/Core/Membership/PeerCodec.cpp
+++ b/Source/Core/Membership/PeerCodec.cpp
@@ -256,6 +256,8 @@
     record.set_started_ms(item.crashed.started.value);
     record.set_age_ms(static_cast<uint32_t>(item.age.count()));
     record.set_trials(item.trials);
+    record.set_service(item.service.value);
+    record.set_exposure_ms(static_cast<uint32_t>(item.exposure.count()));
 }
 
 std::optional<Quarantine::quarantine_statement> decodeQuarantineStatement(const filbertreel::peer::quarantine_statement& record)
@@ -267,6 +269,8 @@
     item.crashed = { { record.endpoint() }, { record.started_ms() } };
     item.age = Quarantine::milliseconds(record.age_ms());
     item.trials = record.trials();
+    item.service = { record.service() };
+    item.exposure = Quarantine::milliseconds(record.exposure_ms());
     return item;
 }
 
--- a/Source/Core/Membership/Tests/PeerCodecTest.cpp
+++ b/Source/Core/Membership/Tests/PeerCodecTest.cpp
@@ -17,11 +17,11 @@
 
 TEST_GROUP(PeerCodec) {};
 
-TEST(PeerCodec, AStatementAboutAPromptPartArrivesAsItWasSentInSixtyBytes)
+TEST(PeerCodec, AStatementAboutAFingerprintArrivesAsItWasSentInSixtyBytes)
 {
     constexpr size_t maxBytes = 60;
     const quarantine_statement rows[] = {
-        { statement_kind::Crash, { 0xffffffffffffffff }, { { "i-0123456789" }, { 1792817495870 } }, Quarantine::milliseconds(6000), 0 },
+        { statement_kind::Crash, { 0xffffffffffffffff }, { { "i-0123456789" }, { 1792817495870 } }, Quarantine::milliseconds(6000), 0, { "filbertreel-pool" }, Quarantine::milliseconds(60000) },
         { statement_kind::Sound, { 1 }, {}, {}, 0 },
         { statement_kind::Quarantined, { 2 }, {}, Quarantine::milliseconds(600000), 7 },
     };
@@ -33,6 +33,7 @@
         CHECK_TRUE(received.has_value());
         CHECK_TRUE(received->kind == item.kind && received->subject == item.subject && received->crashed == item.crashed);
         CHECK_TRUE(received->age == item.age && received->trials == item.trials);
+        CHECK_TRUE(received->service == item.service && received->exposure == item.exposure);
     }
 }
 
--- a/Source/Core/Quarantine/CrashEvidence.cpp
+++ b/Source/Core/Quarantine/CrashEvidence.cpp
@@ -22,33 +22,33 @@
 
 } // namespace
 
-void addBrokenResponse(crash_evidence& evidence, broken_response response)
+void addUnanswered(crash_evidence& evidence, unanswered_request request)
 {
-    if (evidence.pending.size() >= maxPendingResponses)
+    if (evidence.pending.size() >= maxPendingRequests)
         evidence.pending.pop_front();
-    evidence.pending.push_back(std::move(response));
+    evidence.pending.push_back(std::move(request));
 }
 
-std::vector<broken_response> takeCrashed(crash_evidence& evidence, const endpoint_start& start)
+std::vector<unanswered_request> takeCrashed(crash_evidence& evidence, const endpoint_start& start)
 {
-    std::vector<broken_response> crashed;
-    std::erase_if(evidence.pending, [&](broken_response& response) {
-        if (response.start != start)
+    std::vector<unanswered_request> crashed;
+    std::erase_if(evidence.pending, [&](unanswered_request& request) {
+        if (request.start != start)
             return false;
-        crashed.push_back(response);
+        crashed.push_back(request);
         return true;
     });
     return crashed;
 }
 
-std::vector<broken_response> takeVanished(crash_evidence& evidence, const Fleet::endpoint_map& listed, Common::instant now)
+std::vector<unanswered_request> takeVanished(crash_evidence& evidence, const Fleet::endpoint_map& listed, Common::instant now)
 {
-    std::vector<broken_response> crashed;
-    std::erase_if(evidence.pending, [&](broken_response& response) {
-        const endpoint_fate fate = fateOf(response.start, listed);
-        const bool isExpired = now - response.brokenAt > pendingLifetime;
+    std::vector<unanswered_request> crashed;
+    std::erase_if(evidence.pending, [&](unanswered_request& request) {
+        const endpoint_fate fate = fateOf(request.start, listed);
+        const bool isExpired = now - request.endedAt > pendingLifetime;
         if (fate == endpoint_fate::Vanished && !isExpired)
-            crashed.push_back(response);
+            crashed.push_back(request);
         return fate != endpoint_fate::Listed || isExpired;
     });
     return crashed;
@@ -56,7 +56,7 @@
 
 void clearStillUp(crash_evidence& evidence, const endpoint_start& start, Common::instant upAt)
 {
-    std::erase_if(evidence.pending, [&](const broken_response& response) { return response.start == start && response.brokenAt < upAt; });
+    std::erase_if(evidence.pending, [&](const unanswered_request& request) { return request.start == start && request.endedAt < upAt; });
 }
 
 } // namespace Quarantine
--- a/Source/Core/Quarantine/CrashEvidence.h
+++ b/Source/Core/Quarantine/CrashEvidence.h
@@ -1,8 +1,7 @@
 #pragma once
 
 /// @file
-/// Tells which broken responses come from an endpoint that went down, and the fingerprints of their requests. Reads no clock
-/// and no socket.
+/// Tells which requests were at an endpoint when it went down. Reads no clock and no socket.
 
 #include "Fleet/EndpointRegistry.h"
 #include "Quarantine/Fingerprint.h"
@@ -23,42 +22,42 @@
     friend auto operator<=>(const endpoint_start&, const endpoint_start&) = default;
 };
 
-/// A response that broke off shortly after it began.
-struct broken_response {
+/// A request that was at an endpoint without an answer that shows the endpoint to be up: its response broke off, or it
+/// ended unanswered.
+struct unanswered_request {
     endpoint_start start;
-    std::vector<fingerprint> fingerprints; ///< Of the request.
-    Common::instant brokenAt;
+    Common::service_name service;
+    std::vector<fingerprint> fingerprints;
+    Common::instant endedAt;
+    milliseconds exposure { 0 }; ///< Time for which it was at the endpoint.
 };
 
-/// Broken responses of which it isn't known yet whether their endpoint went down, oldest first.
+/// Requests of which it isn't known yet whether their endpoint went down, oldest first.
 struct crash_evidence {
-    std::deque<broken_response> pending;
+    std::deque<unanswered_request> pending;
 };
 
-/// A response that broke off later than this after its head doesn't count against the request's fingerprints.
-constexpr milliseconds maxResponseAge { 1000 };
-/// A broken response whose endpoint stays up for this time is forgotten. Covers the time after which a listing no longer
-/// contains an endpoint that went down.
+/// A request whose endpoint stays up for this time is forgotten. Covers the time after which a listing no longer contains
+/// an endpoint that went down.
 constexpr milliseconds pendingLifetime { 6000 };
-constexpr size_t maxPendingResponses = 256;
+constexpr size_t maxPendingRequests = 1024;
 
-/// Adds a broken response; the oldest one is dropped if there are too many.
+/// Adds a request; the oldest one is dropped if there are too many.
 /// @param evidence changed in place.
-/// @param response a response that broke off at most maxResponseAge after its head.
-void addBrokenResponse(crash_evidence& evidence, broken_response response);
+void addUnanswered(crash_evidence& evidence, unanswered_request request);
 
 /// The endpoint went down.
-/// @return its broken responses, which are no longer pending.
-std::vector<broken_response> takeCrashed(crash_evidence& evidence, const endpoint_start& start);
+/// @return its requests, which are no longer pending.
+std::vector<unanswered_request> takeCrashed(crash_evidence& evidence, const endpoint_start& start);
 
-/// Takes the broken responses of endpoints that are no longer listed or were started again. An endpoint that announced
-/// that it leaves didn't crash.
+/// Takes the requests of endpoints that are no longer listed or were started again. An endpoint that announced that it
+/// leaves didn't crash.
 /// @param listed all known endpoints.
 /// @param now current time.
-/// @return the broken responses of endpoints that went down.
-std::vector<broken_response> takeVanished(crash_evidence& evidence, const Fleet::endpoint_map& listed, Common::instant now);
+/// @return the requests of endpoints that went down.
+std::vector<unanswered_request> takeVanished(crash_evidence& evidence, const Fleet::endpoint_map& listed, Common::instant now);
 
-/// The endpoint was up at a time: forgets its broken responses before that time.
+/// The endpoint was up at a time: forgets its requests that ended before that time.
 void clearStillUp(crash_evidence& evidence, const endpoint_start& start, Common::instant upAt);
 
 } // namespace Quarantine
--- a/Source/Core/Quarantine/RequestQuarantine.cpp
+++ b/Source/Core/Quarantine/RequestQuarantine.cpp
@@ -76,12 +76,15 @@
         state.events.push_back({ subject, change, crashes });
     }
 
-    /// Makes room for one more suspect: quarantined fingerprints go last, otherwise the one seen longest ago goes first.
+    /// @return the order in which suspects are dropped: quarantined ones last, those with few crashes seen long ago first.
+    std::pair<bool, Common::instant> keepingRank(const suspect_record& suspect)
+    {
+        return { suspect.isQuarantined, suspect.lastSeen + retentionPerCrash * suspect.crashes.size() };
+    }
+
     void dropOldestSuspect(quarantine_state& state)
     {
-        const auto oldest = std::min_element(state.suspects.begin(), state.suspects.end(), [](const auto& left, const auto& right) {
-            return std::pair(left.second.isQuarantined, left.second.lastSeen) < std::pair(right.second.isQuarantined, right.second.lastSeen);
-        });
+        const auto oldest = std::min_element(state.suspects.begin(), state.suspects.end(), [](const auto& left, const auto& right) { return keepingRank(left.second) < keepingRank(right.second); });
         state.suspects.erase(oldest);
     }
 
@@ -100,37 +103,73 @@
         return added;
     }
 
+    void markExplained(crash_history& history, const suspect_record& suspect)
+    {
+        for (const auto& [start, crash] : suspect.crashes) {
+            const auto found = history.crashes.find(start);
+            if (found != history.crashes.end())
+                found->second.isExplained = true;
+        }
+    }
+
     void quarantine(quarantine_state& state, fingerprint subject, suspect_record& suspect, uint32_t trials, Common::instant now)
     {
         suspect.isQuarantined = true;
         suspect.trials = trials;
         suspect.nextTrial = now + trialInterval(trials);
+        markExplained(state.history, suspect);
         report(state, subject, suspect_change::Quarantined, suspect.crashes.size());
     }
 
-    bool hasCommonCause(const suspect_record& suspect)
+    /// @return whether the endpoints may have gone down together, under requests that were at all of them already. A request
+    /// that was sent on after a crash is a cause of its own for the next one.
+    bool mayHaveCommonCause(const suspect_record& suspect)
     {
-        const auto [first, last] = std::minmax_element(suspect.crashes.begin(), suspect.crashes.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
-        return last->second - first->second < minCrashSpan;
+        Common::instant firstCrash = Common::instant::max();
+        Common::instant lastCrash = Common::instant::min();
+        Common::instant lastBegun = Common::instant::min();
+        for (const auto& [start, crash] : suspect.crashes) {
+            firstCrash = std::min(firstCrash, crash.at);
+            lastCrash = std::max(lastCrash, crash.at);
+            lastBegun = std::max(lastBegun, crash.at - crash.exposure);
+        }
+        return lastCrash - firstCrash < minCrashSpan && lastBegun <= firstCrash;
     }
 
     /// Keeps the first crashes and the latest one, so that the time they span is known.
-    void addCrash(suspect_record& suspect, const endpoint_start& crashed, Common::instant at)
+    void addCrash(suspect_record& suspect, const endpoint_start& crashed, const crash_record& crash)
     {
-        if (suspect.crashes.contains(crashed))
+        const auto known = suspect.crashes.find(crashed);
+        if (known != suspect.crashes.end()) {
+            known->second.exposure = std::max(known->second.exposure, crash.exposure);
             return;
-        if (suspect.crashes.size() >= crashesToQuarantine) {
-            const auto latest = std::max_element(suspect.crashes.begin(), suspect.crashes.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+        }
+        if (suspect.crashes.size() >= maxCrashesKept) {
+            const auto latest = std::max_element(suspect.crashes.begin(), suspect.crashes.end(), [](const auto& left, const auto& right) { return left.second.at < right.second.at; });
             suspect.crashes.erase(latest);
         }
-        suspect.crashes.emplace(crashed, at);
+        suspect.crashes.emplace(crashed, crash);
+    }
+
+    /// @return whether a request isn't sent to another endpoint after one may have run it.
+    bool isLikelyCause(const quarantine_state& state, const suspect_record& suspect)
+    {
+        return suspect.crashes.size() >= crashesToStopRetries && chanceOf(state.history, suspect.service, suspect.crashes) <= maxChanceToStopRetries;
+    }
+
+    bool mayBeQuarantined(const quarantine_state& state, const suspect_record& suspect)
+    {
+        return suspect.crashes.size() >= crashesToQuarantine && !mayHaveCommonCause(suspect) && chanceOf(state.history, suspect.service, suspect.crashes) <= maxChanceToQuarantine;
     }
 
-    suspect_record& countCrash(quarantine_state& state, fingerprint subject, const endpoint_start& crashed, Common::instant at, Common::instant now)
+    suspect_record& countCrash(quarantine_state& state, fingerprint subject, const quarantine_statement& statement, Common::instant now)
     {
         suspect_record& suspect = findOrAddSuspect(state, subject, now);
-        addCrash(suspect, crashed, at);
-        if (!suspect.isQuarantined && suspect.crashes.size() >= crashesToQuarantine && !hasCommonCause(suspect))
+        suspect.service = statement.service;
+        addCrash(suspect, statement.crashed, { now - statement.age, statement.exposure });
+        if (suspect.isQuarantined)
+            markExplained(state.history, suspect);
+        else if (mayBeQuarantined(state, suspect))
             quarantine(state, subject, suspect, 0, now);
         return suspect;
     }
@@ -242,12 +281,15 @@
     return unproven;
 }
 
-void recordCrash(quarantine_state& state, const broken_response& response, Common::instant now)
+void recordCrash(quarantine_state& state, const unanswered_request& request, Common::instant now)
 {
-    for (const fingerprint subject : unprovenAmong(state, response.fingerprints, now)) {
-        countCrash(state, subject, response.start, response.brokenAt, now).isReportedHere = true;
-        quarantine_statement statement { statement_kind::Crash, subject, response.start };
-        statement.age = ageOf(response.brokenAt, now);
+    addKnownCrash(state.history, request.start, { request.service, request.endedAt });
+    for (const fingerprint subject : unprovenAmong(state, request.fingerprints, now)) {
+        quarantine_statement statement { statement_kind::Crash, subject, request.start };
+        statement.age = ageOf(request.endedAt, now);
+        statement.service = request.service;
+        statement.exposure = request.exposure;
+        countCrash(state, subject, statement, now).isReportedHere = true;
         send(state, statement);
     }
 }
@@ -266,6 +308,8 @@
 void applyStatement(quarantine_state& state, const Common::node_id& from, const quarantine_statement& statement, Common::instant now)
 {
     const quarantine_statement sound { statement_kind::Sound, statement.subject };
+    if (statement.kind == statement_kind::Crash)
+        addKnownCrash(state.history, statement.crashed, { statement.service, now - statement.age });
     if (statement.kind == statement_kind::Sound) {
         rememberSound(state.sound, statement.subject, now);
         if (release(state, statement.subject))
@@ -276,7 +320,7 @@
         return send(state, sound, from);
     if (statement.kind == statement_kind::Quarantined)
         return applyQuarantined(state, statement, now);
-    countCrash(state, statement.subject, statement.crashed, now - statement.age, now);
+    countCrash(state, statement.subject, statement, now);
 }
 
 quarantine_verdict judgeRequest(quarantine_state& state, const std::vector<fingerprint>& fingerprints, Common::instant now)
@@ -306,7 +350,7 @@
         if (found == state.suspects.end())
             return false;
         if (mayHaveRun)
-            return found->second.isQuarantined || found->second.crashes.size() >= crashesToStopRetries;
+            return found->second.isQuarantined || isLikelyCause(state, found->second);
         return found->second.isQuarantined && !isTrial;
     });
 }
@@ -314,6 +358,7 @@
 void refresh(quarantine_state& state, Common::instant now)
 {
     forgetOldSound(state.sound, now);
+    forgetOldCrashes(state.history, now);
     std::vector<fingerprint> forgotten;
     for (const auto& [subject, suspect] : state.suspects) {
         if (now - suspect.lastSeen > suspectRetention)
--- a/Source/Core/Quarantine/RequestQuarantine.h
+++ b/Source/Core/Quarantine/RequestQuarantine.h
@@ -5,7 +5,7 @@
 /// fingerprint under which several endpoints went down and which never got an answer are refused at all nodes; one node
 /// tries them again from time to time. Reads no clock and no socket.
 
-#include "Quarantine/CrashEvidence.h"
+#include "Quarantine/CrashChance.h"
 
 #include <map>
 #include <optional>
@@ -18,8 +18,14 @@
 constexpr size_t crashesToQuarantine = 3;
 /// From this number on, a request with the fingerprint isn't sent to another endpoint after one may have run it.
 constexpr size_t crashesToStopRetries = 2;
-/// Endpoints that go down within a shorter time have a common cause, such as the loss of a zone.
+/// Crashes that are more likely than this to be chance don't count against a fingerprint.
+constexpr double maxChanceToQuarantine = 0.001;
+constexpr double maxChanceToStopRetries = 0.02;
+/// Endpoints that go down within a shorter time under requests that were at all of them may have a common cause, such as the
+/// loss of a zone.
 constexpr milliseconds minCrashSpan { 200 };
+/// Crashes kept for a fingerprint.
+constexpr size_t maxCrashesKept = 16;
 /// A fingerprint that was answered within this time is sound.
 constexpr milliseconds soundMemory { 30000 };
 /// Time from the quarantine to the first trial; it doubles with each trial that fails, up to maxTrialDoublings times.
@@ -31,8 +37,10 @@
 constexpr milliseconds suspectRetention { 600000 };
 /// Interval at which nodes repeat which fingerprints are quarantined, for nodes that have started or were cut off since.
 constexpr milliseconds repeatInterval { 2000 };
-constexpr size_t maxSuspects = 1024;
-constexpr size_t maxSoundEntries = 8192;
+constexpr size_t maxSuspects = 2048;
+/// Each further crash keeps a suspect as long as if it had been seen so much later.
+constexpr milliseconds retentionPerCrash { 30000 };
+constexpr size_t maxSoundEntries = 16384;
 
 enum class statement_kind : uint32_t {
     Crash = 1, ///< An endpoint went down under the fingerprint.
@@ -47,6 +55,8 @@
     endpoint_start crashed {}; ///< Set for Crash.
     milliseconds age { 0 }; ///< Since the crash, or since the last request with the quarantined fingerprint.
     uint32_t trials { 0 }; ///< Of the quarantined fingerprint, failed ones.
+    Common::service_name service {}; ///< Of the endpoint that went down; set for Crash.
+    milliseconds exposure { 0 }; ///< Time for which the request was at that endpoint.
 };
 
 struct outgoing_statement {
@@ -56,7 +66,8 @@
 
 /// A fingerprint under which at least one endpoint went down.
 struct suspect_record {
-    std::map<endpoint_start, Common::instant> crashes; ///< At most crashesToQuarantine.
+    Common::service_name service; ///< Of its crashes.
+    crash_map crashes; ///< At most maxCrashesKept.
     Common::instant lastSeen; ///< Of a crash, or of a request with the quarantined fingerprint.
     bool isReportedHere { false }; ///< This node has told others of a crash.
     bool isQuarantined { false };
@@ -65,7 +76,7 @@
     Common::instant nextExplainedTrial;
 };
 
-/// Parts that were answered recently, at this node or at another one that said so.
+/// Fingerprints that were answered recently, at this node or at another one that said so.
 struct sound_memory {
     std::unordered_map<fingerprint, Common::instant> answeredAt;
     std::deque<std::pair<Common::instant, fingerprint>> order; ///< Oldest first; may contain outdated entries.
@@ -93,6 +104,7 @@
     std::set<Common::node_id> peers;
     std::unordered_map<fingerprint, suspect_record> suspects;
     sound_memory sound;
+    crash_history history;
     std::vector<outgoing_statement> outgoing; ///< To be sent; emptied by the sender.
     std::vector<suspect_event> events; ///< To be logged; emptied by the logger.
     Common::instant lastRepeat;
@@ -102,7 +114,7 @@
 std::vector<fingerprint> unprovenAmong(const quarantine_state& state, const std::vector<fingerprint>& fingerprints, Common::instant now);
 
 /// An endpoint went down under a request at this node.
-void recordCrash(quarantine_state& state, const broken_response& response, Common::instant now);
+void recordCrash(quarantine_state& state, const unanswered_request& request, Common::instant now);
 
 /// A request with these fingerprints got a complete answer.
 void recordAnswer(quarantine_state& state, const std::vector<fingerprint>& fingerprints, Common::instant now);
--- a/Source/Core/Quarantine/Tests/CrashDay.h
+++ b/Source/Core/Quarantine/Tests/CrashDay.h
@@ -81,6 +81,7 @@
     quarantine_statement statement;
 };
 
+inline const Common::service_name service { "s" };
 inline const fingerprint crashingPart { 99 };
 
 /// Nodes, endpoints and requests on a clock that advances by one millisecond.
@@ -90,7 +91,7 @@
     std::vector<quarantine_state> nodes;
     std::vector<modelled_endpoint> endpoints { endpointCount };
     std::multimap<int, running_request> ends; ///< By the time at which the response ends or breaks off.
-    std::multimap<int, std::pair<size_t, broken_response>> checks;
+    std::multimap<int, std::pair<size_t, unanswered_request>> checks;
     std::multimap<int, delivery> deliveries;
     std::set<fingerprint> refusedSound;
     day_result result;
@@ -108,6 +109,7 @@
     {
         nodes[node] = {};
         nodes[node].self = nameOf(node);
+        nodes[node].history.endpoints[service] = endpointCount;
         for (size_t peer = 0; peer < plan.nodes; ++peer) {
             if (peer != node)
                 nodes[node].peers.insert(nameOf(peer));
@@ -212,7 +214,7 @@
         const bool isBroken = request.isCrashing || !isUp || happens(plan.tornShare);
         if (!isBroken)
             return recordAnswer(nodes[request.node], request.fingerprints, at(nowMs));
-        const broken_response response { { { std::to_string(request.endpoint) }, { request.started } }, request.fingerprints, at(nowMs) };
+        const unanswered_request response { { { std::to_string(request.endpoint) }, { request.started } }, service, request.fingerprints, at(nowMs), milliseconds(nowMs - request.sentMs) };
         checks.emplace(nowMs + downCheckMs, std::pair(request.node, response));
         if (request.isRetry || !maySendElsewhere(nodes[request.node], request.fingerprints, true, request.isTrial))
             return;
@@ -229,7 +231,7 @@
             result.fifthCrashMs = nowMs;
     }
 
-    void check(size_t node, const broken_response& response)
+    void check(size_t node, const unanswered_request& response)
     {
         const bool isDown = endpoints[std::stoul(response.start.endpoint.value)].started != response.start.started.value;
         if (isDown)
@@ -271,7 +273,7 @@
             if (unlucky)
                 crash(endpoints[*unlucky]);
             handleDue(ends, [this](const running_request& request) { end(request); });
-            handleDue(checks, [this](const std::pair<size_t, broken_response>& item) { check(item.first, item.second); });
+            handleDue(checks, [this](const std::pair<size_t, unanswered_request>& item) { check(item.first, item.second); });
             handleDue(deliveries, [this](const delivery& item) { applyStatement(nodes[item.to], nameOf(item.from), item.statement, at(nowMs)); });
             for (size_t node = 0; node < plan.nodes; ++node) {
                 if (nowMs % refreshMs == 0)
--- a/Source/Core/Quarantine/Tests/CrashEvidenceTest.cpp
+++ b/Source/Core/Quarantine/Tests/CrashEvidenceTest.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Which broken responses count as the endpoint's end.
+/// Which unanswered requests count as having been there when the endpoint went down.
 
 #include "Quarantine/CrashEvidence.h"
 
@@ -46,7 +46,7 @@
     };
     for (const row& item : rows) {
         crash_evidence evidence;
-        addBrokenResponse(evidence, { { { "e" }, { 5 } }, { { 1 } }, at(0) });
+        addUnanswered(evidence, { { { "e" }, { 5 } }, { "s" }, { { 1 } }, at(0), {} });
         CHECK_EQUAL_TEXT(item.crashed, takeVanished(evidence, item.listed, at(item.listedAtMs)).size(), item.condition);
         CHECK_EQUAL_TEXT(item.pending, evidence.pending.size(), item.condition);
     }
@@ -55,19 +55,19 @@
 TEST(CrashEvidence, AnEndpointThatIsUpAfterTheBreakIsCleared)
 {
     crash_evidence evidence;
-    addBrokenResponse(evidence, { { { "e" }, { 5 } }, { { 1 } }, at(0) });
-    addBrokenResponse(evidence, { { { "e" }, { 5 } }, { { 2 } }, at(200) });
-    addBrokenResponse(evidence, { { { "f" }, { 5 } }, { { 3 } }, at(0) });
+    addUnanswered(evidence, { { { "e" }, { 5 } }, { "s" }, { { 1 } }, at(0), {} });
+    addUnanswered(evidence, { { { "e" }, { 5 } }, { "s" }, { { 2 } }, at(200), {} });
+    addUnanswered(evidence, { { { "f" }, { 5 } }, { "s" }, { { 3 } }, at(0), {} });
     clearStillUp(evidence, { { "e" }, { 5 } }, at(100));
     CHECK_EQUAL(2U, evidence.pending.size());
     CHECK_EQUAL(1U, takeCrashed(evidence, { { "e" }, { 5 } }).size());
     CHECK_EQUAL(1U, takeCrashed(evidence, { { "f" }, { 5 } }).size());
 }
 
-TEST(CrashEvidence, ManyBrokenResponsesTakeBoundedMemory)
+TEST(CrashEvidence, ManyUnansweredRequestsTakeBoundedMemory)
 {
     crash_evidence evidence;
-    for (uint64_t number = 0; number < 10 * maxPendingResponses; ++number)
-        addBrokenResponse(evidence, { { { "e" }, { 5 } }, { { number } }, at(0) });
-    CHECK_EQUAL(maxPendingResponses, evidence.pending.size());
+    for (uint64_t number = 0; number < 10 * maxPendingRequests; ++number)
+        addUnanswered(evidence, { { { "e" }, { 5 } }, { "s" }, { { number } }, at(0), {} });
+    CHECK_EQUAL(maxPendingRequests, evidence.pending.size());
 }
--- a/Source/Core/Quarantine/Tests/RequestQuarantineTest.cpp
+++ b/Source/Core/Quarantine/Tests/RequestQuarantineTest.cpp
@@ -16,9 +16,9 @@
     return Common::instant(std::chrono::hours(1)) + milliseconds(ms);
 }
 
-broken_response crashOf(int endpoint, int64_t ms, std::vector<fingerprint> fingerprints = { bad })
+unanswered_request crashOf(int endpoint, int64_t ms, std::vector<fingerprint> fingerprints = { bad }, milliseconds exposure = milliseconds(300))
 {
-    return { { { "e" + std::to_string(endpoint) }, { 1 } }, std::move(fingerprints), at(ms) };
+    return { { { "e" + std::to_string(endpoint) }, { 1 } }, { "s" }, std::move(fingerprints), at(ms), exposure };
 }
 
 bool isRefused(quarantine_state& state, int64_t ms, std::vector<fingerprint> fingerprints = { bad })
@@ -39,11 +39,12 @@
 
 TEST_GROUP(RequestQuarantine) {};
 
-TEST(RequestQuarantine, APartIsRefusedOnlyAfterCrashesOfSeveralEndpointsWithoutAnAnswer)
+TEST(RequestQuarantine, ARequestIsRefusedOnlyAfterCrashesOfSeveralEndpointsWithoutAnAnswer)
 {
     struct crash {
         int endpoint;
         int ms;
+        int exposureMs { 300 };
     };
     struct row {
         const char* condition;
@@ -59,6 +60,7 @@
         { "three", { { 1, 0 }, { 2, 300 }, { 3, 600 } }, -1, true, false },
         { "the same endpoint three times", { { 1, 0 }, { 1, 300 }, { 1, 600 } }, -1, false, true },
         { "three at one moment, as in the loss of a zone", { { 1, 0 }, { 2, 50 }, { 3, 100 } }, -1, false, false },
+        { "three in a short time, each sent after the crash before", { { 1, 0, 40 }, { 2, 50, 40 }, { 3, 100, 40 } }, -1, true, false },
         { "three at one moment and one later", { { 1, 0 }, { 2, 50 }, { 3, 100 }, { 4, 900 } }, -1, true, false },
         { "answered shortly before", { { 1, 100 }, { 2, 300 }, { 3, 600 } }, 50, false, true },
         { "answered between", { { 1, 0 }, { 2, 300 }, { 3, 600 } }, 400, false, true },
@@ -72,7 +74,7 @@
                 recordAnswer(state, { bad }, at(item.answeredAtMs));
                 isAnswered = true;
             }
-            recordCrash(state, crashOf(crash.endpoint, crash.ms), at(crash.ms));
+            recordCrash(state, crashOf(crash.endpoint, crash.ms, { bad }, milliseconds(crash.exposureMs)), at(crash.ms));
         }
         if (!isAnswered)
             recordAnswer(state, { bad }, at(item.answeredAtMs));
@@ -82,7 +84,7 @@
     }
 }
 
-TEST(RequestQuarantine, SoundPartsOfTheSameRequestsAreNotRefused)
+TEST(RequestQuarantine, SoundFingerprintsOfTheSameRequestsAreNotRefused)
 {
     const fingerprint first { 1 };
     quarantine_state state;
@@ -93,7 +95,7 @@
     CHECK_FALSE(isRefused(state, 3000, { first }));
 }
 
-TEST(RequestQuarantine, APartThatWasAnsweredLongAgoCanBeQuarantined)
+TEST(RequestQuarantine, AFingerprintThatWasAnsweredLongAgoCanBeQuarantined)
 {
     quarantine_state state;
     recordAnswer(state, { bad }, at(0));
@@ -102,7 +104,7 @@
     CHECK_TRUE(isRefused(state, 32000));
 }
 
-TEST(RequestQuarantine, OneNodeTriesAPartLessAndLessOften)
+TEST(RequestQuarantine, OneNodeTriesAFingerprintLessAndLessOften)
 {
     quarantine_state responsible = makeQuarantined();
     quarantine_state other = makeQuarantined();
@@ -126,7 +128,7 @@
     CHECK_EQUAL(5, std::max(trials[0], trials[1]));
 }
 
-TEST(RequestQuarantine, ARequestIsRefusedUntilTheNextTrialAndATrialThatIsAnsweredReleasesThePart)
+TEST(RequestQuarantine, ARequestIsRefusedUntilTheNextTrialAndATrialThatIsAnsweredReleasesTheFingerprint)
 {
     quarantine_state state = makeQuarantined();
     const quarantine_verdict verdict = judgeRequest(state, { bad }, at(10400));
@@ -140,7 +142,7 @@
     CHECK_TRUE(state.outgoing.back().statement.kind == statement_kind::Sound);
 }
 
-TEST(RequestQuarantine, PartsThatComeTogetherAreTriedTogether)
+TEST(RequestQuarantine, FingerprintsThatComeTogetherAreTriedTogether)
 {
     quarantine_state state;
     state.self = { "n1" };
@@ -151,7 +153,7 @@
     CHECK_TRUE(isRefused(state, 62000, both));
 }
 
-TEST(RequestQuarantine, APartIsTriedSoonIfAnotherPartExplainsAllItsCrashes)
+TEST(RequestQuarantine, AFingerprintIsTriedSoonIfAnotherPartExplainsAllItsCrashes)
 {
     const fingerprint first { 1 };
     struct row {
@@ -210,7 +212,7 @@
     CHECK_TRUE(isRefused(started, 3001));
 }
 
-TEST(RequestQuarantine, MemoryIsBoundedAndPartsAreForgotten)
+TEST(RequestQuarantine, MemoryIsBoundedAndFingerprintsAreForgotten)
 {
     quarantine_state state = makeQuarantined();
     for (uint64_t number = 0; number < 20000; ++number) {
