What is quarantined lasts on the platform's store and is known before a node serves

What callers saw: nothing yet; the table shows that after a restart of nodes (all of them, or just those that repeat what is quarantined) the same request ended three endpoints more, and then could be tried anew.

Cause: only nodes that were up heard of crashes; one that starts learned from two repeaters within two seconds, and from nobody after a power loss.

Change: a row a quarantine in the store's table `quarantine` (at most 500, one read), written by the nodes that reported a crash or repeat the quarantine, removed with it, written again in a new era of the store. A node reads it at its start and gives its gateway the catalog only then, or after 400 ms, or when the read failed (it is repeated). The row names the crashes, so that fingerprints which another one explains are tried within seconds after a start too: without that a sound prompt part stayed refused ("one node, started again, with prompt parts" was red). Statements to peers go in one message instead of one each.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -8,6 +8,7 @@
 #include "Control/ControlContext.h"
 #include "Control/EndpointOrders.h"
 #include "Control/NodeRows.h"
+#include "Control/QuarantineRows.h"
 #include "Control/RolloutRunner.h"
 #include "Control/TableRelay.h"
 #include "Control/UsageRelay.h"
@@ -42,6 +43,8 @@
     node_rows nodeRows { context };
     Store::table_watch statusWatch; ///< Polled only while a rollout is in progress.
     table_relay relay;
+    quarantine_rows quarantines { context, outlets };
+    bool isCatalogHeld { false }; ///< The gateway gets it once the quarantined fingerprints are known.
     usage_relay usageRelay { context, outlets, usage };
     std::string catalogText; ///< The catalog in the platform's format, for peers that can't reach the store.
     bool wasHolder { false };
@@ -95,10 +98,19 @@
         context.catalog = newer;
         catalogText = rows.at(context.settings.calls.catalogKey).value;
         Common::logEvent(Common::log_level::Info, "catalog_in_force", { { "version", context.catalog->version }, { "routes", context.catalog->routes.size() }, { "accounts", context.catalog->accounts.size() }, { "source", source } });
-        outlets.sendToGateway(Gateway::catalog_update { context.catalog });
+        isCatalogHeld = true;
+        releaseCatalog(Common::bootClockNow());
         outlets.announceCatalog(context.catalog->version);
     }
 
+    void releaseCatalog(Common::instant now)
+    {
+        if (!isCatalogHeld || !mayServe(quarantines, now))
+            return;
+        isCatalogHeld = false;
+        outlets.sendToGateway(Gateway::catalog_update { context.catalog });
+    }
+
     void endpointRowsChanged()
     {
         const Fleet::listing listing = context.settings.calls.endpoints(endpointWatch.rows);
@@ -172,6 +184,7 @@
         Lease::beginEra(context.lease, context.era, now);
         handleHolderChange();
         beginEra(usage);
+        beginEra(quarantines);
         beginEra(rollouts.tracker);
         nodeRows.isRegistered = false;
         nodeRows.nextRegistration = {};
@@ -342,6 +355,8 @@
         nodeRows.deadNodes = std::move(message.nodes);
     }
 
+    void handle(quarantines_changed&& message) { addChanges(quarantines, message.changes); }
+
     void handle(leave_finished&&)
     {
         removeSelf(nodeRows);
@@ -377,6 +392,8 @@
         handleMessages();
         const Common::instant now = Common::bootClockNow();
         updateRelayRole(now);
+        maintain(quarantines, now);
+        releaseCatalog(now);
         follow(operatorWatch, &implementation::operatorRowsChanged);
         follow(endpointWatch, &implementation::endpointRowsChanged);
         follow(nodeRows.watch, &implementation::nodeRowsChanged);
--- a/Source/Core/Control/ControlDuty.h
+++ b/Source/Core/Control/ControlDuty.h
@@ -74,6 +74,11 @@
     uint64_t sequence { 0 };
 };
 
+/// The gateway has quarantined fingerprints or released them.
+struct quarantines_changed {
+    std::vector<Quarantine::stored_quarantine> changes;
+};
+
 /// This node starts to drain.
 struct leave_started { };
 
@@ -85,7 +90,7 @@
     Fleet::node_facts facts;
 };
 
-using control_message = std::variant<gateway_interval_reported, peer_demand_received, endpoint_leaving_received, catalog_version_announced, catalog_received, catalog_requested, dead_nodes_updated, table_changes_received, usage_counts_received, usage_counts_confirmed, leave_started, leave_finished, settings_reloaded, Gateway::attempt_report, Rollout::peer_evidence, Rollout::peer_latch>;
+using control_message = std::variant<gateway_interval_reported, peer_demand_received, endpoint_leaving_received, catalog_version_announced, catalog_received, catalog_requested, dead_nodes_updated, table_changes_received, usage_counts_received, usage_counts_confirmed, quarantines_changed, leave_started, leave_finished, settings_reloaded, Gateway::attempt_report, Rollout::peer_evidence, Rollout::peer_latch>;
 
 /// Outputs of the duty, called on its thread. They must not block.
 struct control_outlets {
--- a/Source/Core/Gateway/CrashWatch.cpp
+++ b/Source/Core/Gateway/CrashWatch.cpp
@@ -48,9 +48,9 @@
 {
 }
 
-void crash_watch::setSender(statement_sender sender)
+void crash_watch::setReceivers(receivers receivers)
 {
-    m_send = std::move(sender);
+    m_receivers = std::move(receivers);
 }
 
 void crash_watch::attemptEnded(const proxied_call& call, exchange_end end, attempt_end outcome, Common::instant now)
@@ -135,10 +135,12 @@
 {
     for (const Quarantine::suspect_event& event : std::exchange(m_state.quarantine.events, {}))
         logChange(event);
-    for (Quarantine::outgoing_statement& statement : std::exchange(m_state.quarantine.outgoing, {})) {
-        if (m_send)
-            m_send(std::move(statement));
-    }
+    auto statements = std::exchange(m_state.quarantine.outgoing, {});
+    if (!statements.empty() && m_receivers.sendStatements)
+        m_receivers.sendStatements(std::move(statements));
+    auto changes = std::exchange(m_state.quarantine.unstored, {});
+    if (!changes.empty() && m_receivers.store)
+        m_receivers.store(std::move(changes));
 }
 
 } // namespace Gateway
--- a/Source/Core/Gateway/CrashWatch.h
+++ b/Source/Core/Gateway/CrashWatch.h
@@ -16,15 +16,17 @@
 
 class crash_watch {
 public:
-    /// Tells other nodes about a fingerprint.
-    using statement_sender = std::function<void(Quarantine::outgoing_statement&&)>;
+    /// Receivers of what the quarantine has collected; each may be empty.
+    struct receivers {
+        std::function<void(std::vector<Quarantine::outgoing_statement>&&)> sendStatements; ///< To other nodes.
+        std::function<void(std::vector<Quarantine::stored_quarantine>&&)> store;
+    };
 
     /// @param context runs the checks.
     /// @param state its quarantine is changed.
     crash_watch(boost::asio::io_context& context, gateway_state& state);
 
-    /// @param sender may be empty.
-    void setSender(statement_sender sender);
+    void setReceivers(receivers receivers);
     /// @param call a request whose current attempt has ended.
     /// @param end how the HTTP exchange ended.
     /// @param outcome of the attempt.
@@ -33,7 +35,7 @@
     /// @param call a request whose current attempt was cancelled: its time was over, or the caller had gone.
     /// @param now current time.
     void attemptGivenUp(const proxied_call& call, Common::instant now);
-    /// Sends the statements and logs the changes that the quarantine has collected.
+    /// Passes on the statements and changes that the quarantine has collected.
     void flush();
 
 private:
@@ -52,7 +54,7 @@
 
     boost::asio::io_context& m_context;
     gateway_state& m_state;
-    statement_sender m_send;
+    receivers m_receivers;
     std::map<Quarantine::endpoint_start, endpoint_check> m_checks;
 };
 
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -500,7 +500,7 @@
     self.settings = std::move(settings);
     self.outlets = std::move(outlets);
     self.state = makeGatewayState(self.settings.facts, self.settings.seed);
-    self.crashes.setSender(self.outlets.sendQuarantineStatement);
+    self.crashes.setReceivers({ self.outlets.sendQuarantineStatements, self.outlets.storeQuarantines });
     self.setSessionEvents();
     self.inbox.setWaker([&self] { boost::asio::post(self.context, [&self] { self.handleMessages(); }); });
 }
--- a/Source/Core/Gateway/GatewayDuty.h
+++ b/Source/Core/Gateway/GatewayDuty.h
@@ -19,8 +19,10 @@
     std::function<void(attempt_report&&)> reportAttempt; ///< Only for services with a rollout; may be empty.
     /// The node leaves, and every later response closes its connection; may be empty.
     std::function<void()> leaveStarted;
-    /// Tells other nodes about a fingerprint; may be empty.
-    std::function<void(Quarantine::outgoing_statement&&)> sendQuarantineStatement;
+    /// Tells other nodes about fingerprints; may be empty.
+    std::function<void(std::vector<Quarantine::outgoing_statement>&&)> sendQuarantineStatements;
+    /// Writes to the store what is quarantined; may be empty.
+    std::function<void(std::vector<Quarantine::stored_quarantine>&&)> storeQuarantines {};
     /// An endpoint said for the first time, in a response, that it is leaving; may be empty.
     std::function<void(const Common::endpoint_id&, Fleet::start_time)> endpointLeaving {};
 };
--- a/Source/Core/Gateway/GatewayState.cpp
+++ b/Source/Core/Gateway/GatewayState.cpp
@@ -89,6 +89,11 @@
     Quarantine::applyStatement(state.quarantine, message.from, message.statement, now);
 }
 
+void applyMessage(gateway_state& state, const quarantines_read& message, Common::instant now)
+{
+    Quarantine::applyStored(state.quarantine, message.items, now);
+}
+
 void applyMessage(gateway_state& state, const leave_started&, Common::instant now)
 {
     if (!state.leavingSince)
--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -47,6 +47,7 @@
 void applyMessage(gateway_state& state, const grants_received& message, Common::instant now);
 void applyMessage(gateway_state& state, const version_share_update& message, Common::instant now);
 void applyMessage(gateway_state& state, const quarantine_statement_received& message, Common::instant now);
+void applyMessage(gateway_state& state, const quarantines_read& message, Common::instant now);
 void applyMessage(gateway_state& state, const leave_started& message, Common::instant now);
 
 /// Ends the current report interval and starts the next.
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -51,10 +51,15 @@
     Quarantine::quarantine_statement statement;
 };
 
+/// What the store knew about quarantined fingerprints when this node started.
+struct quarantines_read {
+    std::vector<Quarantine::stored_quarantine> items;
+};
+
 /// This node starts to leave the cluster and drains its requests.
 struct leave_started { };
 
-using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, grants_received, version_share_update, quarantine_statement_received, leave_started>;
+using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, grants_received, version_share_update, quarantine_statement_received, quarantines_read, leave_started>;
 
 /// The start or end of an attempt, from which a rollout evaluates the version.
 struct attempt_report {
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -254,13 +254,18 @@
         sendTo(message.receiver, outgoing);
     }
 
-    void handle(push_quarantine_statement&& message)
+    void handle(push_quarantine_statements&& message)
     {
-        envelope outgoing;
-        encodeQuarantineStatement(message.item.statement, *outgoing.mutable_quarantine_statement());
-        if (message.item.receiver)
-            return sendTo(*message.item.receiver, outgoing);
-        sendToAllAlive(outgoing);
+        envelope forAll;
+        std::map<Common::node_id, envelope> forOne;
+        for (const Quarantine::outgoing_statement& item : message.items) {
+            envelope& outgoing = item.receiver ? forOne[*item.receiver] : forAll;
+            encodeQuarantineStatement(item.statement, *outgoing.mutable_quarantine_statements()->add_statements());
+        }
+        for (auto& [receiver, outgoing] : forOne)
+            sendTo(receiver, outgoing);
+        if (forAll.has_quarantine_statements())
+            sendToAllAlive(forAll);
     }
 
     void handle(offer_transfer&& message)
@@ -346,11 +351,13 @@
             outlets.usageCountsReceived(sender, body.sequence(), std::move(rows));
     }
 
-    void handleQuarantineStatement(const Common::node_id& sender, const filbertreel::peer::quarantine_statement& record)
+    void handleQuarantineStatements(const Common::node_id& sender, const filbertreel::peer::quarantine_statements& body)
     {
-        const std::optional<Quarantine::quarantine_statement> statement = decodeQuarantineStatement(record);
-        if (statement && outlets.quarantineStatementReceived)
-            outlets.quarantineStatementReceived(sender, *statement);
+        for (const auto& record : body.statements()) {
+            const std::optional<Quarantine::quarantine_statement> statement = decodeQuarantineStatement(record);
+            if (statement && outlets.quarantineStatementReceived)
+                outlets.quarantineStatementReceived(sender, *statement);
+        }
     }
 
     void handleEnvelope(const envelope& message)
@@ -397,8 +404,8 @@
             return outlets.catalogReceived(message.catalog_text().version(), std::string(message.catalog_text().text()));
         case envelope::kRelayedTables:
             return handleTableChanges(sender, message.relayed_tables());
-        case envelope::kQuarantineStatement:
-            return handleQuarantineStatement(sender, message.quarantine_statement());
+        case envelope::kQuarantineStatements:
+            return handleQuarantineStatements(sender, message.quarantine_statements());
         case envelope::kUsageCounts:
             return handleUsageCounts(sender, message.usage_counts());
         case envelope::kUsageCountsWritten:
--- a/Source/Core/Membership/PeerDuty.h
+++ b/Source/Core/Membership/PeerDuty.h
@@ -99,9 +99,9 @@
     Rollout::broadcast_latch latch;
 };
 
-/// Send one peer or all of them what this node has found out about a fingerprint.
-struct push_quarantine_statement {
-    Quarantine::outgoing_statement item;
+/// Send peers what this node has found out about fingerprints.
+struct push_quarantine_statements {
+    std::vector<Quarantine::outgoing_statement> items;
 };
 
 /// Offer a request to a peer, which may take it over.
@@ -127,7 +127,7 @@
 };
 
 using peer_message = std::variant<seeds_changed, configuration_changed, leave_started, push_changes, pull_changes, reply_changes,
-    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog, push_table_changes, push_usage_counts, confirm_usage_counts, push_quarantine_statement>;
+    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog, push_table_changes, push_usage_counts, confirm_usage_counts, push_quarantine_statements>;
 
 /// Callbacks for what the duty receives and finds. They run on the duty's thread and must not block.
 struct peer_outlets {
--- a/Source/Core/Quarantine/RequestQuarantine.cpp
+++ b/Source/Core/Quarantine/RequestQuarantine.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-    /// Nodes that repeat that a fingerprint is quarantined.
-    constexpr size_t repeatersPerPart = 2;
+    /// Nodes that repeat that a fingerprint is quarantined, and write it to the store.
+    constexpr size_t repeatersPerFingerprint = 2;
     /// Nodes that try a fingerprint whose crashes another fingerprint explains.
-    constexpr size_t explainedTriersPerPart = 2;
+    constexpr size_t explainedTriersPerFingerprint = 2;
     /// A sound fingerprint is recorded again after this time at the earliest.
     constexpr milliseconds soundUpdateInterval { 1000 };
     constexpr milliseconds minRefusalTime { 1000 };
@@ -112,6 +112,11 @@
         }
     }
 
+    bool isKeptHere(const quarantine_state& state, fingerprint subject, const suspect_record& suspect)
+    {
+        return suspect.isReportedHere || rankOf(state, subject) < repeatersPerFingerprint;
+    }
+
     void quarantine(quarantine_state& state, fingerprint subject, suspect_record& suspect, uint32_t trials, Common::instant now)
     {
         suspect.isQuarantined = true;
@@ -162,16 +167,32 @@
         return suspect.crashes.size() >= crashesToQuarantine && !mayHaveCommonCause(suspect) && chanceOf(state.history, suspect.service, suspect.crashes) <= maxChanceToQuarantine;
     }
 
-    suspect_record& countCrash(quarantine_state& state, fingerprint subject, const quarantine_statement& statement, Common::instant now)
+    void store(quarantine_state& state, fingerprint subject, const suspect_record& suspect)
+    {
+        stored_quarantine item { subject, suspect.trials };
+        for (const auto& [start, crash] : suspect.crashes)
+            item.crashes.push_back(start);
+        state.unstored.push_back(std::move(item));
+    }
+
+    void quarantineAndStore(quarantine_state& state, fingerprint subject, suspect_record& suspect, uint32_t trials, Common::instant now)
     {
+        quarantine(state, subject, suspect, trials, now);
+        if (isKeptHere(state, subject, suspect))
+            store(state, subject, suspect);
+    }
+
+    void countCrash(quarantine_state& state, const quarantine_statement& statement, bool isReportedHere, Common::instant now)
+    {
+        const fingerprint subject = statement.subject;
         suspect_record& suspect = findOrAddSuspect(state, subject, now);
+        suspect.isReportedHere = suspect.isReportedHere || isReportedHere;
         suspect.service = statement.service;
         addCrash(suspect, statement.crashed, { now - statement.age, statement.exposure });
         if (suspect.isQuarantined)
             markExplained(state.history, suspect);
         else if (mayBeQuarantined(state, suspect))
-            quarantine(state, subject, suspect, 0, now);
-        return suspect;
+            quarantineAndStore(state, subject, suspect, 0, now);
     }
 
     /// @return whether this node had reported the fingerprint, or repeats it.
@@ -180,7 +201,9 @@
         const auto found = state.suspects.find(subject);
         if (found == state.suspects.end())
             return false;
-        const bool isKnownFromHere = found->second.isReportedHere || (found->second.isQuarantined && rankOf(state, subject) < repeatersPerPart);
+        const bool isKnownFromHere = found->second.isReportedHere || (found->second.isQuarantined && isKeptHere(state, subject, found->second));
+        if (found->second.isQuarantined && isKnownFromHere)
+            state.unstored.push_back({ subject, 0, true });
         report(state, subject, suspect_change::Released, found->second.crashes.size());
         state.suspects.erase(found);
         return isKnownFromHere;
@@ -190,7 +213,7 @@
     {
         suspect_record& suspect = findOrAddSuspect(state, statement.subject, now - statement.age);
         if (!suspect.isQuarantined)
-            return quarantine(state, statement.subject, suspect, statement.trials, now);
+            return quarantineAndStore(state, statement.subject, suspect, statement.trials, now);
         if (statement.trials <= suspect.trials)
             return;
         suspect.trials = statement.trials;
@@ -224,6 +247,7 @@
             ++suspect.trials;
             suspect.nextTrial = now + trialInterval(suspect.trials);
             send(state, quarantinedStatement(subject, suspect, now));
+            store(state, subject, suspect);
             report(state, subject, suspect_change::Tried, suspect.crashes.size());
         }
     }
@@ -247,7 +271,7 @@
     {
         for (const fingerprint subject : quarantined) {
             const suspect_record& suspect = state.suspects.at(subject);
-            if (now < suspect.nextExplainedTrial || rankOf(state, subject) >= explainedTriersPerPart || !isExplainedByOther(state, suspect, fingerprints))
+            if (now < suspect.nextExplainedTrial || rankOf(state, subject) >= explainedTriersPerFingerprint || !isExplainedByOther(state, suspect, fingerprints))
                 return false;
         }
         for (const fingerprint subject : quarantined) {
@@ -289,7 +313,7 @@
         statement.age = ageOf(request.endedAt, now);
         statement.service = request.service;
         statement.exposure = request.exposure;
-        countCrash(state, subject, statement, now).isReportedHere = true;
+        countCrash(state, statement, true, now);
         send(state, statement);
     }
 }
@@ -320,7 +344,20 @@
         return send(state, sound, from);
     if (statement.kind == statement_kind::Quarantined)
         return applyQuarantined(state, statement, now);
-    countCrash(state, statement.subject, statement, now);
+    countCrash(state, statement, false, now);
+}
+
+void applyStored(quarantine_state& state, const std::vector<stored_quarantine>& items, Common::instant now)
+{
+    for (const stored_quarantine& item : items) {
+        if (isSound(state, item.subject, now))
+            continue;
+        suspect_record& suspect = findOrAddSuspect(state, item.subject, now);
+        for (const endpoint_start& crash : item.crashes)
+            addCrash(suspect, crash, { now });
+        if (!suspect.isQuarantined)
+            quarantine(state, item.subject, suspect, item.trials, now);
+    }
 }
 
 quarantine_verdict judgeRequest(quarantine_state& state, const std::vector<fingerprint>& fingerprints, Common::instant now)
@@ -370,7 +407,7 @@
         return;
     state.lastRepeat = now;
     for (const auto& [subject, suspect] : state.suspects) {
-        if (suspect.isQuarantined && rankOf(state, subject) < repeatersPerPart)
+        if (suspect.isQuarantined && rankOf(state, subject) < repeatersPerFingerprint)
             send(state, quarantinedStatement(subject, suspect, now));
     }
 }
--- a/Source/Core/Quarantine/RequestQuarantine.h
+++ b/Source/Core/Quarantine/RequestQuarantine.h
@@ -6,6 +6,7 @@
 /// tries them again from time to time. Reads no clock and no socket.
 
 #include "Quarantine/CrashChance.h"
+#include "Quarantine/StoredQuarantine.h"
 
 #include <map>
 #include <optional>
@@ -106,6 +107,7 @@
     sound_memory sound;
     crash_history history;
     std::vector<outgoing_statement> outgoing; ///< To be sent; emptied by the sender.
+    std::vector<stored_quarantine> unstored; ///< To be written to the store; emptied by the writer.
     std::vector<suspect_event> events; ///< To be logged; emptied by the logger.
     Common::instant lastRepeat;
 };
@@ -122,6 +124,9 @@
 /// Applies what another node said; an objection may be added to the outgoing statements.
 void applyStatement(quarantine_state& state, const Common::node_id& from, const quarantine_statement& statement, Common::instant now);
 
+/// Applies what the store knew when this node started.
+void applyStored(quarantine_state& state, const std::vector<stored_quarantine>& items, Common::instant now);
+
 /// Decides whether a new request may be sent to an endpoint.
 struct quarantine_verdict {
     bool isTrial { false }; ///< It has a quarantined fingerprint, and this node may try it now.
--- a/Source/Core/Quarantine/Tests/CrashDay.h
+++ b/Source/Core/Quarantine/Tests/CrashDay.h
@@ -93,6 +93,7 @@
     std::multimap<int, running_request> ends; ///< By the time at which the response ends or breaks off.
     std::multimap<int, std::pair<size_t, unanswered_request>> checks;
     std::multimap<int, delivery> deliveries;
+    std::map<fingerprint, stored_quarantine> stored; ///< As in the platform's store.
     std::set<fingerprint> refusedSound;
     day_result result;
     int nowMs { 0 };
@@ -114,6 +115,10 @@
             if (peer != node)
                 nodes[node].peers.insert(nameOf(peer));
         }
+        std::vector<stored_quarantine> items;
+        for (const auto& [subject, item] : stored)
+            items.push_back(item);
+        applyStored(nodes[node], items, at(nowMs));
     }
 
     void restartNodes()
@@ -246,6 +251,12 @@
                     deliveries.emplace(nowMs + 1 + static_cast<int>(choose(150)), delivery { node, to, item.statement });
             }
         }
+        for (const stored_quarantine& item : std::exchange(nodes[node].unstored, {})) {
+            if (item.isRemoved)
+                stored.erase(item.subject);
+            else
+                stored[item.subject] = item;
+        }
         nodes[node].outgoing.clear();
         nodes[node].events.clear();
     }
@@ -278,7 +289,7 @@
             for (size_t node = 0; node < plan.nodes; ++node) {
                 if (nowMs % refreshMs == 0)
                     refresh(nodes[node], at(nowMs));
-                if (!nodes[node].outgoing.empty())
+                if (!nodes[node].outgoing.empty() || !nodes[node].unstored.empty())
                     deliverOutgoing(node);
             }
         }
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -426,7 +426,7 @@
         return "backing_off";
     case refusal_reason::TooLate:
         return "too_late";
-    case refusal_reason::PromptRequestQuarantined:
+    case refusal_reason::Quarantined:
         return "request_quarantined";
     }
     return "unknown";
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -92,7 +92,7 @@
     NoEndpoint, ///< No endpoint of the service is known or allowed.
     BackingOff, ///< No endpoint wants requests now.
     TooLate, ///< No endpoint is predicted to begin before the deadline.
-    PromptRequestQuarantined, ///< Endpoints went down under a part of the prompt.
+    Quarantined, ///< Endpoints went down under requests like it.
 };
 
 struct refusal {
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -113,7 +113,11 @@
             static_cast<void>(control.submit(Control::gateway_interval_reported { std::move(report) }));
         };
         outlets.reportAttempt = [this](Gateway::attempt_report&& seen) { static_cast<void>(control.submit(std::move(seen))); };
-        outlets.sendQuarantineStatement = [this](Quarantine::outgoing_statement&& statement) { static_cast<void>(peers.submit(Membership::push_quarantine_statement { std::move(statement) })); };
+        outlets.sendQuarantineStatements = [this](std::vector<Quarantine::outgoing_statement>&& items) { static_cast<void>(peers.submit(Membership::push_quarantine_statements { std::move(items) })); };
+        outlets.storeQuarantines = [this](std::vector<Quarantine::stored_quarantine>&& changes) {
+            if (!control.submit(Control::quarantines_changed { std::move(changes) }))
+                Common::logEvent(Common::log_level::Warning, "message_dropped", { { "message", "quarantines_changed" }, { "duty", "control" } });
+        };
         // The readiness changes after the gateway has been told: a caller that sees it must not get a response that
         // keeps its connection open.
         outlets.leaveStarted = [this] { directory.setReady(false); };
--- a/Tests/Platform/GatewayFleet.cpp
+++ b/Tests/Platform/GatewayFleet.cpp
@@ -7,7 +7,8 @@
 namespace PlatformTests {
 
 gateway_fleet::gateway_fleet(size_t nodeCount, const std::vector<std::vector<scripted_answer>>& scripts)
-    : m_members(nodeCount)
+    : listedCount(scripts.size())
+    , m_members(nodeCount)
 {
     for (const auto& script : scripts)
         endpoints.push_back(std::make_unique<scripted_endpoint>(script));
@@ -44,7 +45,7 @@
 Fleet::endpoint_map gateway_fleet::listing() const
 {
     Fleet::endpoint_map listed;
-    for (size_t number = 0; number < endpoints.size(); ++number) {
+    for (size_t number = 0; number < listedCount; ++number) {
         if (endpoints[number]->isDown())
             continue;
         Fleet::endpoint item;
@@ -76,7 +77,11 @@
     settings.wire = PlatformAdapter::makeWireFormat();
     Gateway::gateway_outlets outlets;
     outlets.report = [](Gateway::interval_report&&) {};
-    outlets.sendQuarantineStatement = [this, node](Quarantine::outgoing_statement&& item) { deliver(node, item); };
+    outlets.sendQuarantineStatements = [this, node](std::vector<Quarantine::outgoing_statement>&& items) {
+        for (const Quarantine::outgoing_statement& item : items)
+            deliver(node, item);
+    };
+    outlets.storeQuarantines = [this](std::vector<Quarantine::stored_quarantine>&& changes) { store(changes); };
     auto duty = std::make_unique<Gateway::gateway_duty>(settings, std::move(outlets));
     Gateway::peers_update known;
     for (size_t peer = 0; peer < m_members.size(); ++peer) {
@@ -84,6 +89,7 @@
             known.peers.insert(idOf(peer));
     }
     static_cast<void>(duty->submit(std::move(known)));
+    static_cast<void>(duty->submit(readStored()));
     static_cast<void>(duty->submit(Gateway::catalog_update { makeTestCatalog() }));
     static_cast<void>(duty->submit(Gateway::endpoints_update { listing() }));
     {
@@ -111,6 +117,26 @@
         start(node);
 }
 
+void gateway_fleet::store(const std::vector<Quarantine::stored_quarantine>& changes)
+{
+    const std::lock_guard guard(m_mutex);
+    for (const Quarantine::stored_quarantine& item : changes) {
+        if (item.isRemoved)
+            m_stored.erase(item.subject);
+        else
+            m_stored[item.subject] = item;
+    }
+}
+
+Gateway::quarantines_read gateway_fleet::readStored()
+{
+    const std::lock_guard guard(m_mutex);
+    Gateway::quarantines_read message;
+    for (const auto& [subject, item] : m_stored)
+        message.items.push_back(item);
+    return message;
+}
+
 void gateway_fleet::deliver(size_t from, const Quarantine::outgoing_statement& item)
 {
     const std::lock_guard guard(m_mutex);
--- a/Tests/Platform/GatewayFleet.h
+++ b/Tests/Platform/GatewayFleet.h
@@ -30,6 +30,7 @@
     void restart(const std::vector<size_t>& nodes);
 
     std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    size_t listedCount; ///< Only so many of the endpoints are listed; all at first.
 
 private:
     struct member {
@@ -42,9 +43,12 @@
     Fleet::endpoint_map listing() const;
     void start(size_t node);
     void stop(size_t node);
+    void store(const std::vector<Quarantine::stored_quarantine>& changes);
+    Gateway::quarantines_read readStored();
     void deliver(size_t from, const Quarantine::outgoing_statement& item);
 
-    std::mutex m_mutex; ///< Guards the duties in m_members against their end.
+    std::mutex m_mutex; ///< Guards the duties in m_members against their end, and m_stored.
+    std::map<Quarantine::fingerprint, Quarantine::stored_quarantine> m_stored; ///< As in the platform's store.
     std::vector<member> m_members;
 };
 
--- a/Tests/Platform/NodeTest.cpp
+++ b/Tests/Platform/NodeTest.cpp
@@ -208,6 +208,39 @@
     CHECK(eventually([&] { return second.served() == 200; }));
 }
 
+TEST(PlatformNode, AQuarantinedRequestStaysRefusedWhenAllNodesAreStartedAgainAndWhenTheStoreIsRestored)
+{
+    store_stand_in store;
+    store.put("op", "config", makeManifest(3, "k1"));
+    // Started before the endpoints: a child process would keep their listening sockets open.
+    running_node node({ .name = "n1", .storeAddress = store.address() });
+    std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    for (int number = 0; number < 8; ++number) {
+        endpoints.push_back(std::make_unique<scripted_endpoint>(std::vector<scripted_answer> { { completeAnswer }, { "", answer_end::GoDown, {}, "/p/crash" } }));
+        store.put("servers", "i-" + std::to_string(number), makeEntry(endpoints.back()->address()));
+    }
+    const auto countDown = [&] { return std::count_if(endpoints.begin(), endpoints.end(), [](const auto& endpoint) { return endpoint->isDown(); }); };
+    const auto isRefused = [](const running_node& node) { return ask(node.callers(), "/p/crash").find("request_quarantined") != std::string::npos; };
+    CHECK(eventually([&] { return node.served() == 200; }));
+    store.backUp();
+    for (int sent = 0; sent < 10 && !isRefused(node); ++sent)
+        std::this_thread::sleep_for(milliseconds(250));
+    CHECK(isRefused(node));
+    const auto down = countDown();
+    CHECK(down <= 6);
+    CHECK(eventually([&] { return store.keys("quarantine").size() == 1; }));
+    store.restoreCopy();
+    CHECK(eventually([&] { return store.keys("quarantine").size() == 1; }));
+    Harness::killProcess(node.child);
+    node.startAgain();
+    running_node other({ .name = "n2", .storeAddress = store.address() });
+    CHECK(eventually([&] { return node.readiness() == 200 && other.readiness() == 200; }));
+    CHECK(isRefused(node));
+    CHECK(isRefused(other));
+    CHECK_EQUAL(200, node.served());
+    CHECK_EQUAL(down, countDown());
+}
+
 TEST(PlatformNode, ALeavingNodeIsOutOfTheDirectoryAndEndsInTime)
 {
     store_stand_in store;
