Requests already on their way are called back when they are quarantined

Change: when a fingerprint is quarantined, each request with it that no endpoint has begun to answer is cancelled: 503 with Retry-After where it may be repeated, otherwise 502, as it may have run.

--- a/Source/Core/Gateway/CrashWatch.cpp
+++ b/Source/Core/Gateway/CrashWatch.cpp
@@ -133,8 +133,14 @@
 
 void crash_watch::flush()
 {
-    for (const Quarantine::suspect_event& event : std::exchange(m_state.quarantine.events, {}))
+    std::set<Quarantine::fingerprint> quarantined;
+    for (const Quarantine::suspect_event& event : std::exchange(m_state.quarantine.events, {})) {
         logChange(event);
+        if (event.change == Quarantine::suspect_change::Quarantined)
+            quarantined.insert(event.subject);
+    }
+    if (!quarantined.empty() && m_receivers.quarantined)
+        m_receivers.quarantined(quarantined);
     auto statements = std::exchange(m_state.quarantine.outgoing, {});
     if (!statements.empty() && m_receivers.sendStatements)
         m_receivers.sendStatements(std::move(statements));
--- a/Source/Core/Gateway/CrashWatch.h
+++ b/Source/Core/Gateway/CrashWatch.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace Gateway {
 
@@ -20,6 +21,8 @@
     struct receivers {
         std::function<void(std::vector<Quarantine::outgoing_statement>&&)> sendStatements; ///< To other nodes.
         std::function<void(std::vector<Quarantine::stored_quarantine>&&)> store;
+        /// Requests with these fingerprints are now refused.
+        std::function<void(const std::set<Quarantine::fingerprint>&)> quarantined;
     };
 
     /// @param context runs the checks.
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -14,6 +14,7 @@
 #include "Gateway/Placement.h"
 #include "Gateway/ResponseBoundary.h"
 
+#include <algorithm>
 #include <atomic>
 #include <unordered_map>
 #include <unordered_set>
@@ -56,6 +57,14 @@
         return { boost::asio::ip::make_address(address.substr(0, colon)), static_cast<uint16_t>(port) };
     }
 
+    /// @return whether the request has one of the fingerprints and no endpoint has begun to answer it.
+    bool isRecallable(const proxied_call& call, const std::set<Quarantine::fingerprint>& fingerprints)
+    {
+        if (call.isTrial || !call.currentAttempt || !call.currentAttempt->channel || call.currentAttempt->headReceived)
+            return false;
+        return std::any_of(call.fingerprints.begin(), call.fingerprints.end(), [&](Quarantine::fingerprint item) { return fingerprints.contains(item); });
+    }
+
     std::string errorBody(std::string_view error)
     {
         return fmt::format("{{\"error\":\"{}\"}}", error);
@@ -423,6 +432,31 @@
         finish(call, "caller_gone", 0);
     }
 
+    /// Posted, because a request may be in the middle of a step now.
+    void scheduleRecall(const std::set<Quarantine::fingerprint>& fingerprints)
+    {
+        boost::asio::post(context, [this, fingerprints] {
+            std::vector<std::pair<caller_session*, call_id>> recalled;
+            for (const auto& [session, call] : calls) {
+                if (isRecallable(*call, fingerprints))
+                    recalled.emplace_back(session, call->id);
+            }
+            for (const auto& [session, id] : recalled)
+                recall(*find(session, id));
+        });
+    }
+
+    /// Takes a request away from the endpoint at which it may still be waiting.
+    void recall(proxied_call& call)
+    {
+        call.currentAttempt->channel->cancel();
+        recordAttemptEnd(call, attempt_end::TimedOut);
+        const Scheduling::refusal refusal { Scheduling::refusal_reason::Quarantined, Quarantine::firstTrialInterval };
+        if (call.progress.mayRetry && !call.progress.hasHeadSent)
+            return refuse(call, rejectUnplaced(refusal));
+        failUnknown(call, Scheduling::nameOf(refusal.reason));
+    }
+
     void finish(proxied_call& call, std::string_view outcome, int status)
     {
         logEnd(call, outcome, status, clockNow());
@@ -500,7 +534,7 @@
     self.settings = std::move(settings);
     self.outlets = std::move(outlets);
     self.state = makeGatewayState(self.settings.facts, self.settings.seed);
-    self.crashes.setReceivers({ self.outlets.sendQuarantineStatements, self.outlets.storeQuarantines });
+    self.crashes.setReceivers({ self.outlets.sendQuarantineStatements, self.outlets.storeQuarantines, [&self](const std::set<Quarantine::fingerprint>& fingerprints) { self.scheduleRecall(fingerprints); } });
     self.setSessionEvents();
     self.inbox.setWaker([&self] { boost::asio::post(self.context, [&self] { self.handleMessages(); }); });
 }
--- a/Tests/Platform/CrashingRequestsTest.cpp
+++ b/Tests/Platform/CrashingRequestsTest.cpp
@@ -173,3 +173,37 @@
     }
     STRCMP_EQUAL("", problems.c_str());
 }
+
+TEST(CrashingRequests, ARequestThatWaitsAtAnEndpointIsCalledBackOnceItIsQuarantined)
+{
+    struct row {
+        const char* condition;
+        const char* route;
+        int status;
+    };
+    const row rows[] = {
+        { "idempotent", "/idem/", 503 },
+        { "at most once", "/once/", 502 },
+        { "resumable stream", "/resume/", 503 },
+    };
+    for (const row& item : rows) {
+        const shape crashes { item.condition, item.route, false, "body", "", answer_end::GoDown };
+        std::vector<std::vector<scripted_answer>> scripts = scriptsFor(crashes);
+        scripts[0] = { { "", answer_end::Wait } };
+        gateway_fleet fleet(1, scripts);
+        fleet.listedCount = 1;
+        fleet.sendListing();
+        std::this_thread::sleep_for(requestInterval);
+        raw_caller waiting(fleet.port(0));
+        waiting.send(makeRequestOf({ item.condition, item.route, false, "body", "", answer_end::GoDownLate }, crashing, 0));
+        while (fleet.endpoints[0]->requests().empty())
+            std::this_thread::sleep_for(milliseconds(10));
+        fleet.listedCount = endpointCount;
+        fleet.sendListing();
+        for (int number = 1; number <= 4; ++number)
+            answerFrom(fleet, 0, makeRequestOf(crashes, crashing, number));
+        const std::string answer = waiting.receive();
+        CHECK_EQUAL_TEXT(item.status, statusOf(answer), item.condition);
+        CHECK_TEXT(answer.find("request_quarantined") != std::string::npos, item.condition);
+    }
+}
