--- a/Tests/Platform/AttemptSeparationTest.cpp
+++ b/Tests/Platform/AttemptSeparationTest.cpp
@@ -88,6 +88,51 @@
     }
 }
 
+TEST(AttemptSeparation, AStreamWhoseSecondAttemptFailsEndsAsIncompleteAfterItsWholeEvents)
+{
+    struct place {
+        const char* name;
+        std::string sent; ///< Of the stream, before the first endpoint breaks it off.
+        std::string events; ///< Whole events among it.
+    };
+    struct failure {
+        const char* name;
+        scripted_answer answer;
+    };
+    const std::string event = chunk("id: 1\ndata: a\n\n");
+    const place places[] = {
+        { "before the first event", "", "" },
+        { "inside the first event", chunk("id: 1\nda"), "" },
+        { "after the first event", event, event },
+        { "inside the second event", event + chunk("id: 2\nda"), event },
+    };
+    const failure failures[] = {
+        { "a failure", { failedAnswer } },
+        { "a failure whose body looks like events", { "HTTP/1.1 500 Oops\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" } },
+        { "a refusal without a run", { notExecutedAnswer } },
+        { "a success that is no stream of its own request", { "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: other\r\nX-Filbertreel-Server-Seal: s\r\nContent-Length: 5\r\n\r\nhello" } },
+        { "nothing", { "", answer_end::Close } },
+        { "a head alone", { streamHead, answer_end::Close } },
+        { "a part of an event", { streamHead + chunk("id: 2\nda"), answer_end::Reset } },
+    };
+    for (const place& broken : places) {
+        for (const failure& second : failures) {
+            const std::string condition = std::string(broken.name) + ", then " + second.name;
+            running_gateway gateway({ { { streamHead + broken.sent, answer_end::Close } }, { second.answer } });
+            raw_caller caller(gateway.port);
+            caller.send(makeRequest("/resume/x"));
+            const std::string answer = caller.receive();
+            CHECK_EQUAL_TEXT(2, gateway.arrivals(), condition.c_str());
+            if (broken.events.empty()) {
+                CHECK_TEXT(statusOf(answer) >= 500, condition.c_str());
+                continue;
+            }
+            CHECK_EQUAL_TEXT(200, statusOf(answer), condition.c_str());
+            CHECK_TEXT(answer.ends_with("\r\n\r\n" + broken.events), condition.c_str());
+        }
+    }
+}
+
 TEST(AttemptSeparation, ALateSecondCopyOnAReusedConnectionIsNeverTakenAsTheNextResponse)
 {
     const std::string seal = "X-Filbertreel-Server-Seal: s\r\n";
