Quarantine: the rate of other crashes is that of the time in which they happened

Cause: the rate was taken over a whole minute also when the crashes had begun a second ago, so innocent requests looked guilty until the minute was full. In the simulation, moreover, nodes took all ten endpoints for listed, which in the product the listing corrects.

Change: the rate is taken over the time since the oldest crash that is known, at least five seconds.

--- a/Source/Core/Gateway/Placement.cpp
+++ b/Source/Core/Gateway/Placement.cpp
@@ -33,7 +33,7 @@
 
 tl::expected<Scheduling::placement, Scheduling::refusal> choosePlacement(gateway_state& state, const proxied_call& call, Common::instant now)
 {
-    if (call.attemptCount > 0 && !Quarantine::maySendElsewhere(state.quarantine, call.fingerprints, call.progress.endpointsRun > 0, call.isTrial))
+    if (call.attemptCount > 0 && !Quarantine::maySendElsewhere(state.quarantine, call.fingerprints, call.progress.endpointsRun > 0, call.isTrial, now))
         return tl::unexpected(Scheduling::refusal { Scheduling::refusal_reason::Quarantined, Quarantine::firstTrialInterval });
     Scheduling::placement_limits limits;
     limits.avoided = call.triedEndpoints;
--- a/Source/Core/Quarantine/CrashChance.cpp
+++ b/Source/Core/Quarantine/CrashChance.cpp
@@ -10,14 +10,19 @@
     using seconds = std::chrono::duration<double>;
 
     /// @return crashes per second of an endpoint of the service, without those under the fingerprint and explained ones.
-    double rateOfOthers(const crash_history& history, const Common::service_name& service, const crash_map& crashes)
+    double rateOfOthers(const crash_history& history, const Common::service_name& service, const crash_map& crashes, Common::instant now)
     {
-        const auto others = std::count_if(history.crashes.begin(), history.crashes.end(), [&](const auto& entry) {
-            return entry.second.service == service && !entry.second.isExplained && !crashes.contains(entry.first);
-        });
+        Common::instant oldest = now - minRateTime;
+        size_t others = 0;
+        for (const auto& [start, crash] : history.crashes) {
+            if (crash.service != service || crash.isExplained || crashes.contains(start))
+                continue;
+            oldest = std::min(oldest, crash.at);
+            ++others;
+        }
         const auto listed = history.endpoints.find(service);
         const size_t endpoints = listed == history.endpoints.end() ? 1 : std::max<size_t>(1, listed->second);
-        return static_cast<double>(others) / (static_cast<double>(endpoints) * seconds(crashMemory).count());
+        return static_cast<double>(others) / (static_cast<double>(endpoints) * seconds(now - oldest).count());
     }
 
 } // namespace
@@ -33,12 +38,12 @@
     std::erase_if(history.crashes, [now](const auto& entry) { return now - entry.second.at > crashMemory; });
 }
 
-double chanceOf(const crash_history& history, const Common::service_name& service, const crash_map& crashes)
+double chanceOf(const crash_history& history, const Common::service_name& service, const crash_map& crashes, Common::instant now)
 {
     milliseconds exposure { 0 };
     for (const auto& [start, crash] : crashes)
         exposure += crash.exposure;
-    return poissonTail(crashes.size(), rateOfOthers(history, service, crashes) * seconds(exposure).count());
+    return poissonTail(crashes.size(), rateOfOthers(history, service, crashes, now) * seconds(exposure).count());
 }
 
 double poissonTail(size_t count, double expected)
--- a/Source/Core/Quarantine/CrashChance.h
+++ b/Source/Core/Quarantine/CrashChance.h
@@ -32,6 +32,8 @@
 };
 
 constexpr milliseconds crashMemory { 60000 };
+/// The rate of crashes is taken over the time since the oldest known one, but over no shorter time than this.
+constexpr milliseconds minRateTime { 5000 };
 constexpr size_t maxKnownCrashes = 4096;
 
 /// Adds a crash, or does nothing if it is known.
@@ -43,9 +45,10 @@
 /// @param history all crashes.
 /// @param service of the requests.
 /// @param crashes those under one fingerprint, at least one.
+/// @param now current time.
 /// @return the probability that so many endpoints go down, in the time for which the requests were at them, at the rate at
 /// which endpoints of the service go down without them.
-double chanceOf(const crash_history& history, const Common::service_name& service, const crash_map& crashes);
+double chanceOf(const crash_history& history, const Common::service_name& service, const crash_map& crashes, Common::instant now);
 
 /// @param count number of events.
 /// @param expected mean of the Poisson distribution.
--- a/Source/Core/Quarantine/RequestQuarantine.cpp
+++ b/Source/Core/Quarantine/RequestQuarantine.cpp
@@ -15,6 +15,7 @@
     /// A sound fingerprint is recorded again after this time at the earliest.
     constexpr milliseconds soundUpdateInterval { 1000 };
     constexpr milliseconds minRefusalTime { 1000 };
+    constexpr size_t suspectsCompared = 64;
 
     milliseconds ageOf(Common::instant then, Common::instant now)
     {
@@ -82,9 +83,12 @@
         return { suspect.isQuarantined, suspect.lastSeen + retentionPerCrash * suspect.crashes.size() };
     }
 
+    /// Drops the least of a few suspects: the table's order is random enough, and a full search at each crash takes long.
     void dropOldestSuspect(quarantine_state& state)
     {
-        const auto oldest = std::min_element(state.suspects.begin(), state.suspects.end(), [](const auto& left, const auto& right) { return keepingRank(left.second) < keepingRank(right.second); });
+        auto end = state.suspects.begin();
+        std::advance(end, std::min(state.suspects.size(), suspectsCompared));
+        const auto oldest = std::min_element(state.suspects.begin(), end, [](const auto& left, const auto& right) { return keepingRank(left.second) < keepingRank(right.second); });
         state.suspects.erase(oldest);
     }
 
@@ -157,14 +161,14 @@
     }
 
     /// @return whether a request isn't sent to another endpoint after one may have run it.
-    bool isLikelyCause(const quarantine_state& state, const suspect_record& suspect)
+    bool isLikelyCause(const quarantine_state& state, const suspect_record& suspect, Common::instant now)
     {
-        return suspect.crashes.size() >= crashesToStopRetries && chanceOf(state.history, suspect.service, suspect.crashes) <= maxChanceToStopRetries;
+        return suspect.crashes.size() >= crashesToStopRetries && chanceOf(state.history, suspect.service, suspect.crashes, now) <= maxChanceToStopRetries;
     }
 
-    bool mayBeQuarantined(const quarantine_state& state, const suspect_record& suspect)
+    bool mayBeQuarantined(const quarantine_state& state, const suspect_record& suspect, Common::instant now)
     {
-        return suspect.crashes.size() >= crashesToQuarantine && !mayHaveCommonCause(suspect) && chanceOf(state.history, suspect.service, suspect.crashes) <= maxChanceToQuarantine;
+        return suspect.crashes.size() >= crashesToQuarantine && !mayHaveCommonCause(suspect) && chanceOf(state.history, suspect.service, suspect.crashes, now) <= maxChanceToQuarantine;
     }
 
     void store(quarantine_state& state, fingerprint subject, const suspect_record& suspect)
@@ -191,7 +195,7 @@
         addCrash(suspect, statement.crashed, { now - statement.age, statement.exposure });
         if (suspect.isQuarantined)
             markExplained(state.history, suspect);
-        else if (mayBeQuarantined(state, suspect))
+        else if (mayBeQuarantined(state, suspect, now))
             quarantineAndStore(state, subject, suspect, 0, now);
     }
 
@@ -380,14 +384,14 @@
     return { true, {} };
 }
 
-bool maySendElsewhere(const quarantine_state& state, const std::vector<fingerprint>& fingerprints, bool mayHaveRun, bool isTrial)
+bool maySendElsewhere(const quarantine_state& state, const std::vector<fingerprint>& fingerprints, bool mayHaveRun, bool isTrial, Common::instant now)
 {
     return std::none_of(fingerprints.begin(), fingerprints.end(), [&](fingerprint subject) {
         const auto found = state.suspects.find(subject);
         if (found == state.suspects.end())
             return false;
         if (mayHaveRun)
-            return found->second.isQuarantined || isLikelyCause(state, found->second);
+            return found->second.isQuarantined || isLikelyCause(state, found->second, now);
         return found->second.isQuarantined && !isTrial;
     });
 }
--- a/Source/Core/Quarantine/RequestQuarantine.h
+++ b/Source/Core/Quarantine/RequestQuarantine.h
@@ -141,8 +141,9 @@
 /// @param fingerprints of a request of which an attempt has ended.
 /// @param mayHaveRun an endpoint may have run it.
 /// @param isTrial of a quarantined fingerprint.
+/// @param now current time.
 /// @return whether the request may be sent to another endpoint.
-bool maySendElsewhere(const quarantine_state& state, const std::vector<fingerprint>& fingerprints, bool mayHaveRun, bool isTrial);
+bool maySendElsewhere(const quarantine_state& state, const std::vector<fingerprint>& fingerprints, bool mayHaveRun, bool isTrial, Common::instant now);
 
 /// Forgets old entries and repeats which fingerprints are quarantined. To be called several times per second.
 void refresh(quarantine_state& state, Common::instant now);
--- a/Source/Core/Quarantine/Tests/CrashChanceTest.cpp
+++ b/Source/Core/Quarantine/Tests/CrashChanceTest.cpp
@@ -56,7 +56,7 @@
         for (int number = 0; number < item.others; ++number)
             addKnownCrash(history, startOf(100 + number), { service, at(0), number < item.explained });
         addKnownCrash(history, startOf(1000), { { "another" }, at(0) });
-        const double chance = chanceOf(history, service, crashes);
+        const double chance = chanceOf(history, service, crashes, at(60000));
         CHECK_TEXT(chance >= item.atLeast && chance <= item.atMost, item.condition);
     }
 }
--- a/Source/Core/Quarantine/Tests/CrashDay.h
+++ b/Source/Core/Quarantine/Tests/CrashDay.h
@@ -6,6 +6,7 @@
 #include "Common/Random.h"
 #include "Quarantine/RequestQuarantine.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -19,6 +20,8 @@
 constexpr int restartMs = 35000;
 constexpr int soundAnswerMs = 400;
 constexpr int downCheckMs = 100;
+constexpr int callerTries = 3;
+constexpr int callerRetryMs = 500;
 constexpr int refreshMs = 250;
 
 inline Common::instant at(int ms)
@@ -43,6 +46,8 @@
     int crashAfterMs { 100 }; ///< Since a crashing request began.
     restarted_nodes restarted { restarted_nodes::None };
     int dayMs { 50000 };
+    bool isPlain { false }; ///< Sound requests have no prompt; their callers send them up to callerTries times.
+    double sameRequestShare { 0 }; ///< Of the plain requests that are one and the same.
 };
 
 struct day_result {
@@ -73,6 +78,7 @@
     bool isRetry;
     bool isTrial;
     std::vector<fingerprint> fingerprints;
+    int callerTry { 1 };
 };
 
 struct delivery {
@@ -90,6 +96,8 @@
     Common::random_source random { 5 };
     std::vector<quarantine_state> nodes;
     std::vector<modelled_endpoint> endpoints { endpointCount };
+    std::multimap<int, running_request> sentAgain; ///< By the time at which the caller sends it again.
+    uint64_t lastPlain { 1000000 }; ///< Fingerprint of the newest plain request.
     std::multimap<int, running_request> ends; ///< By the time at which the response ends or breaks off.
     std::multimap<int, std::pair<size_t, unanswered_request>> checks;
     std::multimap<int, delivery> deliveries;
@@ -158,6 +166,11 @@
         return {};
     }
 
+    size_t countUp() const
+    {
+        return static_cast<size_t>(std::count_if(endpoints.begin(), endpoints.end(), [this](const modelled_endpoint& endpoint) { return endpoint.upFrom <= nowMs; }));
+    }
+
     void send(running_request request)
     {
         const std::optional<size_t> endpoint = chooseUp();
@@ -190,6 +203,14 @@
         request.node = choose(plan.nodes);
         request.isCrashing = isCrashing;
         request.fingerprints = { first, isCrashing ? crashingPart : fingerprint { 100 + choose(plan.soundParts) } };
+        if (plan.isPlain && !isCrashing)
+            request.fingerprints = { { happens(plan.sameRequestShare) ? 1 : ++lastPlain } };
+        admit(std::move(request));
+    }
+
+    void admit(running_request request)
+    {
+        const bool isCrashing = request.isCrashing;
         const quarantine_verdict verdict = judgeRequest(nodes[request.node], request.fingerprints, at(nowMs));
         if (!isCrashing)
             countSound(request, verdict.refusedFor.has_value());
@@ -204,7 +225,7 @@
         if (!isRefused)
             return;
         ++result.soundRefused;
-        refusedSound.insert(request.fingerprints[1]);
+        refusedSound.insert(request.fingerprints.back());
     }
 
     void end(const running_request& request)
@@ -221,13 +242,24 @@
             return recordAnswer(nodes[request.node], request.fingerprints, at(nowMs));
         const unanswered_request response { { { std::to_string(request.endpoint) }, { request.started } }, service, request.fingerprints, at(nowMs), milliseconds(nowMs - request.sentMs) };
         checks.emplace(nowMs + downCheckMs, std::pair(request.node, response));
-        if (request.isRetry || !maySendElsewhere(nodes[request.node], request.fingerprints, true, request.isTrial))
-            return;
+        if (request.isRetry || !maySendElsewhere(nodes[request.node], request.fingerprints, true, request.isTrial, at(nowMs)))
+            return letCallerTryAgain(request);
         running_request repeated = request;
         repeated.isRetry = true;
         send(std::move(repeated));
     }
 
+    void letCallerTryAgain(const running_request& request)
+    {
+        if (!plan.isPlain || request.isCrashing || request.callerTry >= callerTries)
+            return;
+        running_request again {};
+        again.node = choose(plan.nodes);
+        again.fingerprints = request.fingerprints;
+        again.callerTry = request.callerTry + 1;
+        sentAgain.emplace(nowMs + callerRetryMs, std::move(again));
+    }
+
     void crash(modelled_endpoint& endpoint)
     {
         endpoint.started = nowMs;
@@ -283,12 +315,15 @@
             const std::optional<size_t> unlucky = happens(plan.otherCrashesPerSecond / 1000) ? chooseUp() : std::nullopt;
             if (unlucky)
                 crash(endpoints[*unlucky]);
+            handleDue(sentAgain, [this](const running_request& request) { admit(request); });
             handleDue(ends, [this](const running_request& request) { end(request); });
             handleDue(checks, [this](const std::pair<size_t, unanswered_request>& item) { check(item.first, item.second); });
             handleDue(deliveries, [this](const delivery& item) { applyStatement(nodes[item.to], nameOf(item.from), item.statement, at(nowMs)); });
             for (size_t node = 0; node < plan.nodes; ++node) {
-                if (nowMs % refreshMs == 0)
+                if (nowMs % refreshMs == 0) {
+                    nodes[node].history.endpoints[service] = countUp();
                     refresh(nodes[node], at(nowMs));
+                }
                 if (!nodes[node].outgoing.empty() || !nodes[node].unstored.empty())
                     deliverOutgoing(node);
             }
--- a/Source/Core/Quarantine/Tests/CrashShapesTest.cpp
+++ b/Source/Core/Quarantine/Tests/CrashShapesTest.cpp
@@ -34,3 +34,20 @@
     }
     STRCMP_EQUAL("", problems.c_str());
 }
+
+TEST(CrashShapes, PlainRequestsThatCrashNothingAreServedWhileEndpointsCrash)
+{
+    std::string problems;
+    for (const size_t nodes : { 1, 7, 80, 300 }) {
+        for (const double same : { 0.1, 0.5 }) {
+            for (const double crashes : { 1, 3 }) {
+                for (const double torn : { 0.0, 0.5 }) {
+                    const day_result result = crash_day({ .nodes = nodes, .tornShare = torn, .crashingPerSecond = 0, .soundPerSecond = 100, .otherCrashesPerSecond = crashes, .isPlain = true, .sameRequestShare = same }).play();
+                    if (result.soundArrived < 4000 || result.soundRefused * 1000 >= result.soundArrived)
+                        problems += "\n" + std::to_string(nodes) + " nodes, same " + std::to_string(same) + ", crashes " + std::to_string(crashes) + ", torn " + std::to_string(torn) + ": " + std::to_string(result.soundRefused) + " of " + std::to_string(result.soundArrived) + " refused";
+                }
+            }
+        }
+    }
+    STRCMP_EQUAL("", problems.c_str());
+}
--- a/Source/Core/Quarantine/Tests/RequestQuarantineTest.cpp
+++ b/Source/Core/Quarantine/Tests/RequestQuarantineTest.cpp
@@ -78,7 +78,7 @@
         }
         if (!isAnswered)
             recordAnswer(state, { bad }, at(item.answeredAtMs));
-        CHECK_EQUAL_TEXT(item.mayRetry, maySendElsewhere(state, { bad }, true, false), item.condition);
+        CHECK_EQUAL_TEXT(item.mayRetry, maySendElsewhere(state, { bad }, true, false, at(1000)), item.condition);
         CHECK_EQUAL_TEXT(item.isRefused, isRefused(state, 1000), item.condition);
         CHECK_FALSE_TEXT(isRefused(state, 1000, { { 8 } }), item.condition);
     }
@@ -135,8 +135,8 @@
     CHECK_TRUE(verdict.refusedFor == firstTrialInterval - milliseconds(10000));
     CHECK_TRUE(judgeRequest(state, { bad }, at(61000)).isTrial);
     CHECK_TRUE(isRefused(state, 61001));
-    CHECK_TRUE(maySendElsewhere(state, { bad }, false, true));
-    CHECK_FALSE(maySendElsewhere(state, { bad }, true, true));
+    CHECK_TRUE(maySendElsewhere(state, { bad }, false, true, at(1000)));
+    CHECK_FALSE(maySendElsewhere(state, { bad }, true, true, at(1000)));
     recordAnswer(state, { bad }, at(61100));
     CHECK_FALSE(isRefused(state, 61200));
     CHECK_TRUE(state.outgoing.back().statement.kind == statement_kind::Sound);
