Model work under which three engines broke off before a token is given up

What callers of the product's own interface would see: a model request that ends engines goes on to all of them until its five minutes are over, held up by the account's retry budget alone.

Shown now: 102 attempts in 20 s with twelve engines (ModelWorkTest).

Change: three attempts in a row that are cut off before their first token end the request with EndpointFailed. Attempts that brought tokens, were refused or stalled go on as before.

Evidence: ModelWorkTest, 102 before, 3 now.

--- a/Source/Core/Dispatch/ModelWork.cpp
+++ b/Source/Core/Dispatch/ModelWork.cpp
@@ -23,6 +23,8 @@
     constexpr size_t maxFinishedKept = 4096;
     /// An offer that no peer accepts within this time is withdrawn, and the request continues here.
     constexpr std::chrono::milliseconds offerTimeLimit { 1500 };
+    /// A request that breaks off at so many engines before their first token may be what ends them.
+    constexpr uint32_t maxAttemptsCut = 3;
     /// Added to the reconnect grace of a transferred request: callers of the node that left learn the new address only
     /// when their connection ends.
     constexpr std::chrono::seconds transferGrace { 20 };
@@ -146,6 +148,16 @@
             park(context, request, retryDelay);
     }
 
+    /// @return whether the request must not be sent to another engine.
+    bool isLikelyCause(request_entry& request, Http::transfer_end end)
+    {
+        if (request.attempt->hasFirstToken)
+            request.attemptsCut = 0;
+        else if (end == Http::transfer_end::Cut)
+            ++request.attemptsCut;
+        return request.attemptsCut >= maxAttemptsCut;
+    }
+
     bool isPermanentRefusal(const attempt_ended& message)
     {
         const bool isClientError = message.status >= statusBadRequest && message.status < statusServerError;
@@ -235,6 +247,11 @@
         failRequest(context, request, { Common::failure_kind::EndpointFailed, request.work.name.value, Common::run_state::NotRun, 0 });
         return;
     }
+    if (isLikelyCause(request, message.end)) {
+        closeAttempt(context, request, describeOutcome(context, request, true));
+        failRequest(context, request, { Common::failure_kind::EndpointFailed, request.work.name.value, Common::run_state::Unknown, 0 });
+        return;
+    }
     retryElsewhere(context, request, message.end == Http::transfer_end::NotSent ? "refused" : "cut");
 }
 
