A recalled request doesn't count against the version at which it waited

Found by reading the diff again: the recall reported its attempt as timed out, which a rollout counts as a failure of that version. It now ends as when a caller leaves. Evidence: ARequestThatWaitsAtAnEndpointIsCalledBackOnceItIsQuarantined and PlatformGateway pass; that the rollout counted it was read in the code, not tried.

--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -423,15 +423,21 @@
         if (found == calls.end())
             return;
         proxied_call& call = *found->second;
-        if (call.currentAttempt && call.currentAttempt->channel) {
-            call.currentAttempt->channel->cancel();
-            crashes.attemptGivenUp(call, clockNow());
-            Scheduling::recordEnd(state.scheduler, call.currentAttempt->placement.endpoint, call.currentAttempt->placement.id, Scheduling::placement_end::Abandoned, clockNow());
-            reportAttemptEvent(call, attempt_report::event::Abandoned);
-        }
+        if (call.currentAttempt && call.currentAttempt->channel)
+            cancelAttempt(call);
         finish(call, "caller_gone", 0);
     }
 
+    /// Ends an attempt for a reason that says nothing about its endpoint.
+    void cancelAttempt(proxied_call& call)
+    {
+        const attempt& current = *call.currentAttempt;
+        current.channel->cancel();
+        crashes.attemptGivenUp(call, clockNow());
+        Scheduling::recordEnd(state.scheduler, current.placement.endpoint, current.placement.id, Scheduling::placement_end::Abandoned, clockNow());
+        reportAttemptEvent(call, attempt_report::event::Abandoned);
+    }
+
     /// Posted, because a request may be in the middle of a step now.
     void scheduleRecall(const std::set<Quarantine::fingerprint>& fingerprints)
     {
@@ -449,8 +455,7 @@
     /// Takes a request away from the endpoint at which it may still be waiting.
     void recall(proxied_call& call)
     {
-        call.currentAttempt->channel->cancel();
-        recordAttemptEnd(call, attempt_end::TimedOut);
+        cancelAttempt(call);
         const Scheduling::refusal refusal { Scheduling::refusal_reason::Quarantined, Quarantine::firstTrialInterval };
         if (call.progress.mayRetry && !call.progress.hasHeadSent)
             return refuse(call, rejectUnplaced(refusal));
