--- a/Source/Core/Gateway/EndpointDeclarations.cpp
+++ b/Source/Core/Gateway/EndpointDeclarations.cpp
@@ -43,6 +43,38 @@
             Scheduling::declareBackoff(state.scheduler.declarations, current.placement.endpoint, current.placement.started, now + time, now);
     }
 
+    EndpointLimits::endpoint_start startOf(const attempt& current)
+    {
+        return { current.placement.endpoint, current.placement.started };
+    }
+
+    void logInvalidLimit(gateway_state& state, const proxied_call& call, Common::instant now)
+    {
+        const attempt& current = *call.currentAttempt;
+        if (EndpointLimits::markInvalidLogged(state.endpointLimits, startOf(current), now))
+            Common::logEvent(Common::log_level::Warning, "endpoint_limit_invalid", { { "endpoint", current.placement.endpoint.value }, { "request", call.facts.attemptId }, { "stated", current.response.limit->text.substr(0, maxLoggedTextBytes) } });
+    }
+
+    /// A response that ran nothing says less about the endpoint, so that a limit missing there doesn't end the known one.
+    bool canWithdrawLimit(const attempt& current)
+    {
+        return current.response.hasProofOfOrigin && !current.response.hasNotRun;
+    }
+
+    void applyLimit(gateway_state& state, const proxied_call& call, Common::instant now)
+    {
+        const attempt& current = *call.currentAttempt;
+        const std::optional<stated_limit>& stated = current.response.limit;
+        if (!stated && !canWithdrawLimit(current))
+            return;
+        if (stated && (!stated->perSecond || *stated->perSecond > EndpointLimits::maxPerSecond))
+            return logInvalidLimit(state, call, now);
+        const double perSecond = stated ? std::max(*stated->perSecond, EndpointLimits::minPerSecond) : 0;
+        const EndpointLimits::limit_change change = EndpointLimits::recordLimit(state.endpointLimits, startOf(current), perSecond, now);
+        if (change != EndpointLimits::limit_change::None)
+            Common::logEvent(Common::log_level::Info, "endpoint_limit", { { "endpoint", current.placement.endpoint.value }, { "change", EndpointLimits::nameOf(change) }, { "per_s", perSecond }, { "request", call.facts.attemptId } });
+    }
+
 } // namespace
 
 bool applyDeclarations(gateway_state& state, const proxied_call& call, Common::instant now)
@@ -54,6 +86,7 @@
     if (current.isForOtherRequest || isMisdirected(current.status))
         return false;
     applyBackoff(state, call, now);
+    applyLimit(state, call, now);
     return current.response.isLeaving && Scheduling::declareLeaving(state.scheduler.declarations, current.placement.endpoint, current.placement.started, now);
 }
 
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -184,6 +184,8 @@
         call.triedEndpoints.insert(placement.endpoint);
         ++call.attemptCount;
         recordDemand(state, call);
+        if (EndpointLimits::findLimit(state.endpointLimits, { placement.endpoint, placement.started }))
+            Common::countMetric("filbertreel_attempts_at_limited_endpoints_total");
         attempt_facts attemptFacts;
         attemptFacts.timeBudget = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(call.deadline - clockNow()) - responseTimeMargin);
         attemptFacts.endpoint = placement.endpoint;
--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -3,6 +3,7 @@
 /// @file
 /// The state that the gateway's decisions are based on. Reads no clock and no socket.
 
+#include "EndpointLimits/LimitTable.h"
 #include "Fleet/NodeFacts.h"
 #include "Gateway/Messages.h"
 #include "Limits/ServiceRetryBudget.h"
@@ -20,6 +21,7 @@
     milliseconds grace { 8000 }; ///< From the start of leaving to the end of the process.
     Catalog::catalog_pointer catalog; ///< Null until the first catalog is received.
     Scheduling::scheduler_state scheduler;
+    EndpointLimits::limit_table endpointLimits;
     Quota::quota_state quota;
     Limits::service_retry_budgets serviceRetries;
     Quarantine::quarantine_state quarantine;
--- a/Source/Core/Gateway/WireFormat.h
+++ b/Source/Core/Gateway/WireFormat.h
@@ -41,6 +41,12 @@
     std::optional<std::chrono::duration<double>> time; ///< Any number of seconds; empty if the text is no number.
 };
 
+/// How many requests per second an endpoint takes from all nodes together, as its response states it.
+struct stated_limit {
+    std::string text; ///< As sent, for logs.
+    std::optional<double> perSecond; ///< Empty if the text is not one finite number of zero or more.
+};
+
 /// Facts parsed from the headers of an endpoint's response.
 struct response_facts {
     std::string attemptId; ///< Attempt id of the request that the response belongs to; may be empty.
@@ -48,6 +54,7 @@
     bool hasNotRun { false }; ///< The endpoint states that it did not run the request.
     bool isLeaving { false }; ///< The endpoint states that it is leaving.
     std::optional<stated_backoff> backoff;
+    std::optional<stated_limit> limit;
     std::optional<Scheduling::reported_load> load;
     std::optional<milliseconds> keepAlive; ///< How long the endpoint keeps an idle connection open.
     bool hasContentEncoding { false };
