A failing test: callers of nodes without paths to endpoints are not served (listed)

Paths between nodes and endpoints that hang, are reset or refuse new connections only, at one to four of three to six nodes, for each kind of request.

--- /dev/null
+++ b/Tests/Platform/CutLink.h
@@ -0,0 +1,63 @@
+#pragma once
+
+/// @file
+/// A path between one node and one endpoint on loopback, which can be cut.
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace PlatformTests {
+
+/// How a path is cut.
+enum class path_state : int {
+    Sound,
+    Silent, ///< Connections hang, new ones aren't established.
+    Reset, ///< Connections are reset, new ones are refused.
+    NewSilent, ///< Connections live on, new ones aren't established.
+};
+
+/// Forwards connections to a loopback port while the path is sound.
+class cut_link {
+public:
+    /// @param target address of the endpoint.
+    explicit cut_link(const std::string& target);
+    ~cut_link();
+    cut_link(const cut_link&) = delete;
+    cut_link& operator=(const cut_link&) = delete;
+
+    /// @return IP number and port that stand for the endpoint.
+    std::string address() const;
+    void setState(path_state state) { m_state = state; }
+
+private:
+    struct connection {
+        int client { -1 };
+        int server { -1 };
+    };
+
+    void run();
+    void apply(path_state state);
+    void openListener();
+    void closeListener();
+    /// Fills the listener's queue, so that further connections aren't established.
+    void fillQueue();
+    void accept();
+    /// @return false if the connection has ended.
+    static bool forward(int from, int to);
+    void closeAll(bool withReset);
+
+    uint16_t m_target;
+    uint16_t m_port { 0 };
+    int m_listener { -1 };
+    std::vector<int> m_fillers;
+    std::vector<connection> m_connections;
+    path_state m_applied { path_state::Sound };
+    std::atomic<path_state> m_state { path_state::Sound };
+    std::atomic<bool> m_isStopping { false };
+    std::thread m_thread;
+};
+
+} // namespace PlatformTests
--- a/Tests/Platform/GatewayFleet.cpp
+++ b/Tests/Platform/GatewayFleet.cpp
@@ -42,7 +42,7 @@
     return { "n" + std::to_string(node) };
 }
 
-Fleet::endpoint_map gateway_fleet::listing() const
+Fleet::endpoint_map gateway_fleet::listing(size_t node) const
 {
     Fleet::endpoint_map listed;
     for (size_t number = 0; number < listedCount; ++number) {
@@ -53,7 +53,7 @@
         item.started = { endpoints[number]->restarts() };
         item.service = { "s" };
         item.zone = { "z" };
-        item.address = endpoints[number]->address();
+        item.address = addressFor ? addressFor(node, number) : endpoints[number]->address();
         listed[item.id] = item;
     }
     return listed;
@@ -61,8 +61,8 @@
 
 void gateway_fleet::sendListing()
 {
-    for (const member& item : m_members)
-        static_cast<void>(item.duty->submit(Gateway::endpoints_update { listing() }));
+    for (size_t node = 0; node < m_members.size(); ++node)
+        static_cast<void>(m_members[node].duty->submit(Gateway::endpoints_update { listing(node) }));
 }
 
 void gateway_fleet::start(size_t node)
@@ -95,7 +95,7 @@
     static_cast<void>(duty->submit(std::move(known)));
     static_cast<void>(duty->submit(readStored()));
     static_cast<void>(duty->submit(Gateway::catalog_update { makeTestCatalog() }));
-    static_cast<void>(duty->submit(Gateway::endpoints_update { listing() }));
+    static_cast<void>(duty->submit(Gateway::endpoints_update { listing(node) }));
     {
         const std::lock_guard guard(m_mutex);
         started.duty = std::move(duty);
--- a/Tests/Platform/GatewayFleet.h
+++ b/Tests/Platform/GatewayFleet.h
@@ -30,6 +30,8 @@
     void restart(const std::vector<size_t>& nodes);
 
     std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    /// The address at which a node reaches an endpoint; empty: the endpoint's own.
+    std::function<std::string(size_t node, size_t endpoint)> addressFor;
     size_t listedCount; ///< Only so many of the endpoints are listed; all at first.
 
 private:
@@ -40,7 +42,7 @@
     };
 
     static Common::node_id idOf(size_t node);
-    Fleet::endpoint_map listing() const;
+    Fleet::endpoint_map listing(size_t node) const;
     void start(size_t node);
     void stop(size_t node);
     void store(const std::vector<Quarantine::stored_quarantine>& changes);
