A node that reaches no endpoint relays its callers' requests through another node

Cause: a node without paths had no other way to serve. Each request tried three endpoints, 400 ms each, and was refused or ran out of time; what one request had learned was forgotten a second later, and when all endpoints were left out one was tried in spite of it. Class: a node's view of its own paths is taken for the state of the endpoints.

A node without paths says so and another is asked. What it can't tell from the cut counts neither as a crash nor against a version. Endpoints that can't be reached are left out for 1, 2, 4 s instead of 1.

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -61,7 +61,7 @@
         call.progress.isResumable = call.route->isResumable;
         if (call.route->isResumable)
             call.position.lastId = call.facts.lastEventId;
-        call.progress.maxEndpoints = call.route->maxEndpoints;
+        call.progress.maxEndpoints = std::min(call.route->maxEndpoints, call.facts.relayedEndpoints.value_or(call.route->maxEndpoints));
     }
 
     double allowanceCost(const Catalog::account& account, const proxied_call& call)
@@ -108,7 +108,9 @@
     if (verdict.refusedFor)
         return request_rejection { 503, "request_quarantined", verdict.refusedFor };
     call.isTrial = verdict.isTrial;
-    Limits::countRequest(state.serviceRetries, call.service, call.arrived);
+    // The node that relays a request has counted it.
+    if (!call.facts.relayedEndpoints)
+        Limits::countRequest(state.serviceRetries, call.service, call.arrived);
     return chargeAllowance(state, call);
 }
 
--- a/Source/Core/Gateway/AttemptOutcome.cpp
+++ b/Source/Core/Gateway/AttemptOutcome.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/AttemptOutcome.h"
 
+#include "Gateway/Relay.h"
+
 #include <algorithm>
 
 namespace Gateway {
@@ -57,6 +59,8 @@
     const bool endsInsideEvent = current.hasEvents && !current.events.partial.empty();
     if (end == exchange_end::Broken || endsInsideEvent)
         return attempt_end::Broken;
+    if (current.relayedTo && !current.response.hasProofOfOrigin)
+        return classifyRelayed(call);
     if (current.response.hasNotRun || isMisdirected(current.status))
         return attempt_end::NotRun;
     if (!current.response.hasProofOfOrigin)
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -21,7 +21,8 @@
 /// One attempt to have an endpoint run the request.
 struct attempt {
     std::shared_ptr<endpoint_channel> channel;
-    Scheduling::placement placement;
+    Scheduling::placement placement; ///< Of a relay: only the address.
+    std::optional<Common::node_id> relayedTo; ///< The other node, if the attempt is a relay.
     Common::version_name version;
     Fleet::start_time started; ///< Of the endpoint.
     Common::instant begun;
@@ -58,6 +59,7 @@
     std::unique_ptr<boost::asio::steady_timer> timer; ///< Expires at the deadline.
     call_progress progress;
     std::set<Common::endpoint_id> triedEndpoints;
+    std::set<Common::node_id> triedRelays;
     std::optional<attempt> currentAttempt; ///< The latest attempt; it may have ended.
     stream_position position;
     double firstByteMs { 0 }; ///< From arrival to the start of the response; zero before.
--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -106,8 +106,12 @@
         fields["predicted_ms"] = std::llround(call.currentAttempt->placement.predictedMs);
         fields["fresh_tokens"] = std::llround(call.currentAttempt->placement.uncachedTokens);
         fields["sends"] = call.attemptCount;
+        if (call.currentAttempt->relayedTo)
+            fields["relayed_to"] = call.currentAttempt->relayedTo->value;
         addResponseFields(fields, call);
     }
+    if (call.facts.relayedEndpoints)
+        fields["relayed_endpoints"] = *call.facts.relayedEndpoints;
     if (call.facts.model)
         fields["prompt_tokens"] = call.facts.model->promptTokens;
     Common::logEvent(Common::log_level::Info, "request_ended", std::move(fields));
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -11,7 +11,9 @@
 #include "Gateway/ChannelPool.h"
 #include "Gateway/CrashWatch.h"
 #include "Gateway/EndpointDeclarations.h"
+#include "Gateway/PathMonitor.h"
 #include "Gateway/Placement.h"
+#include "Gateway/Relay.h"
 #include "Gateway/ResponseBoundary.h"
 
 #include <algorithm>
@@ -42,6 +44,8 @@
     /// directory answer for up to three times its lifetime.
     constexpr double acceptingShareOfGrace = 0.75;
     constexpr uint32_t leastUrgentLevel = 9;
+    /// An attempt without a response for this time may have no path.
+    constexpr milliseconds minSilence { 300 };
     /// A request waits no longer than this for the owner of an endpoint's limit to answer.
     constexpr milliseconds maxTokenWait { 400 };
     /// An event is forwarded when it is complete, so an endless one would fill the memory.
@@ -92,6 +96,7 @@
 
     gateway_state state;
     crash_watch crashes { context, state };
+    path_monitor paths { context, state };
     std::vector<std::pair<caller_session*, call_id>> waitingForToken; ///< Oldest first; may contain requests that have ended.
 
     // --- Sessions
@@ -165,6 +170,8 @@
 
     void place(proxied_call& call)
     {
+        if (paths.areLost(call.service) && placeWithoutPaths(call))
+            return;
         auto placed = choosePlacement(state, call, clockNow());
         const bool hasNewTokens = requestTokens();
         if (!placed && placed.error().reason == Scheduling::refusal_reason::Limited && hasNewTokens)
@@ -178,6 +185,45 @@
         refuse(call, rejectUnplaced(placed.error()));
     }
 
+    // --- Relays through other nodes, while this one reaches no endpoint
+
+    /// @return whether the request was relayed or refused; an endpoint is tried if no other node can relay it.
+    bool placeWithoutPaths(proxied_call& call)
+    {
+        const bool mayHaveRun = call.progress.endpointsRun > 0 || call.progress.hasHeadSent;
+        if (call.facts.relayedEndpoints) {
+            if (!mayHaveRun)
+                refuseWithoutPath(call);
+            return !mayHaveRun;
+        }
+        const std::optional<relay_peer> peer = chooseRelay(state, call, clockNow());
+        if (peer)
+            startRelay(call, *peer);
+        return peer.has_value();
+    }
+
+    void startRelay(proxied_call& call, const relay_peer& peer)
+    {
+        // The other node charges the account.
+        if (call.allowanceTaken > 0)
+            Quota::refund(state.quota, call.account, std::exchange(call.allowanceTaken, 0));
+        attempt& current = beginAttempt(call, peer.address);
+        current.relayedTo = peer.node;
+        call.triedRelays.insert(peer.node);
+        Common::countMetric("filbertreel_relays_total");
+        const uint32_t endpointsLeft = call.progress.maxEndpoints - std::min(call.progress.maxEndpoints - 1, call.progress.endpointsRun);
+        current.channel->exchange(writeRequest(call, settings.wire.writeRelayed(call.facts, makeAttemptFacts(call), endpointsLeft)), connectTimeout, makeEvents(call));
+    }
+
+    void refuseWithoutPath(proxied_call& call)
+    {
+        constexpr std::string_view reason = "no_path";
+        if (call.allowanceTaken > 0)
+            Quota::refund(state.quota, call.account, call.allowanceTaken);
+        call.session->respond(503, settings.wire.writeNoPathResponse(call.facts), errorBody(reason), isLeaving());
+        finish(call, reason, 503);
+    }
+
     // --- Tokens of limited endpoints
 
     /// @return whether this node has granted tokens to itself.
@@ -224,33 +270,45 @@
 
     // --- An attempt at an endpoint
 
+    attempt& beginAttempt(proxied_call& call, const std::string& address)
+    {
+        attempt& current = call.currentAttempt.emplace();
+        current.placement.address = address;
+        current.begun = clockNow();
+        current.events = makeEventReader(call.position);
+        ++call.attemptCount;
+        // Only a request with an id of its own can be told apart from an earlier one on the same connection.
+        const bool mayReuse = call.route->kind == Catalog::route_kind::Idempotent && !call.facts.attemptId.empty();
+        current.channel = channels.acquire(address, mayReuse);
+        return current;
+    }
+
+    attempt_facts makeAttemptFacts(const proxied_call& call) const
+    {
+        attempt_facts facts;
+        facts.timeBudget = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(call.deadline - clockNow()) - responseTimeMargin);
+        facts.endpoint = call.currentAttempt->placement.endpoint;
+        facts.account = call.account;
+        if (call.facts.model)
+            facts.urgency = std::min(call.urgency, leastUrgentLevel);
+        if (call.position.lastId)
+            facts.resumeAfter = std::to_string(*call.position.lastId);
+        return facts;
+    }
+
     void startAttempt(proxied_call& call, const Scheduling::placement& placement)
     {
-        call.currentAttempt.emplace();
-        call.currentAttempt->placement = placement;
-        call.currentAttempt->begun = clockNow();
-        call.currentAttempt->events = makeEventReader(call.position);
+        attempt& current = beginAttempt(call, placement.address);
+        current.placement = placement;
         const Fleet::endpoint& endpoint = state.scheduler.endpoints.at(placement.endpoint).facts;
-        call.currentAttempt->version = endpoint.version;
-        call.currentAttempt->started = endpoint.started;
+        current.version = endpoint.version;
+        current.started = endpoint.started;
         call.triedEndpoints.insert(placement.endpoint);
-        ++call.attemptCount;
         recordDemand(state, call);
         if (EndpointLimits::findLimit(state.endpointLimits.table, { placement.endpoint, placement.started }))
             Common::countMetric("filbertreel_attempts_at_limited_endpoints_total");
-        attempt_facts attemptFacts;
-        attemptFacts.timeBudget = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(call.deadline - clockNow()) - responseTimeMargin);
-        attemptFacts.endpoint = placement.endpoint;
-        attemptFacts.account = call.account;
-        if (call.facts.model)
-            attemptFacts.urgency = std::min(call.urgency, leastUrgentLevel);
-        if (call.position.lastId)
-            attemptFacts.resumeAfter = std::to_string(*call.position.lastId);
-        // Only a request with an id of its own can be told apart from an earlier one on the same connection.
-        const bool mayReuse = call.route->kind == Catalog::route_kind::Idempotent && !call.facts.attemptId.empty();
-        call.currentAttempt->channel = channels.acquire(placement.address, mayReuse);
         reportAttemptEvent(call, attempt_report::event::Begun);
-        call.currentAttempt->channel->exchange(writeRequest(call, settings.wire.writeAttempt(call.facts, attemptFacts)), connectTimeout, makeEvents(call));
+        current.channel->exchange(writeRequest(call, settings.wire.writeAttempt(call.facts, makeAttemptFacts(call))), connectTimeout, makeEvents(call));
     }
 
     exchange_events makeEvents(const proxied_call& call)
@@ -283,7 +341,7 @@
         current.isConnectionReused = head.isConnectionReused;
         current.response = settings.wire.readResponse(head.headers);
         current.isForOtherRequest = isForOtherRequest(call);
-        if (applyDeclarations(state, call, clockNow()) && outlets.endpointLeaving)
+        if (!current.relayedTo && applyDeclarations(state, call, clockNow()) && outlets.endpointLeaving)
             outlets.endpointLeaving(current.placement.endpoint, current.placement.started);
         sendEndpointLimits();
         const bool isTrusted = !current.isForOtherRequest && current.response.hasProofOfOrigin && !current.response.hasContentEncoding;
@@ -331,7 +389,7 @@
     {
         attempt& current = *call.currentAttempt;
         current.isStartRecorded = true;
-        if (current.response.hasNotRun)
+        if (current.response.hasNotRun || current.relayedTo)
             return;
         const Common::instant now = clockNow();
         if (isSuccess(current.status)) {
@@ -360,10 +418,35 @@
         if (outcome != attempt_end::NotSent && outcome != attempt_end::NotRun && !current.isStartRecorded)
             recordStart(call);
         recordAttemptEnd(call, outcome);
-        crashes.attemptEnded(call, result.end, outcome, clockNow());
+        watchAttemptEnd(call, result.end, outcome);
         performStep(call, outcome, decideWithinRetryBudget(call, outcome));
     }
 
+    /// Tells what the end of an attempt says about crashes and paths.
+    void watchAttemptEnd(const proxied_call& call, exchange_end end, attempt_end outcome)
+    {
+        const attempt& current = *call.currentAttempt;
+        if (current.relayedTo)
+            return recordRelayEnd(state, call, outcome, clockNow());
+        if (!current.headReceived)
+            paths.suspect(call.service, clockNow());
+        // Without paths an endpoint's end can't be told from the cut.
+        if (!paths.areLost(call.service))
+            crashes.attemptEnded(call, end, outcome, clockNow());
+    }
+
+    /// The same of an attempt that is cancelled.
+    void watchAttemptGivenUp(const proxied_call& call)
+    {
+        const attempt& current = *call.currentAttempt;
+        if (current.relayedTo)
+            return;
+        if (!current.headReceived && clockNow() - current.begun > minSilence)
+            paths.suspect(call.service, clockNow());
+        if (!paths.areLost(call.service))
+            crashes.attemptGivenUp(call, clockNow());
+    }
+
     void recordAttemptEnd(proxied_call& call, attempt_end outcome)
     {
         attempt& current = *call.currentAttempt;
@@ -373,12 +456,13 @@
         if (outcome == attempt_end::NotSent || outcome == attempt_end::NotRun)
             ++call.progress.refusals;
         else
-            ++call.progress.endpointsRun;
+            // Another node may have sent it to as many endpoints as are allowed.
+            call.progress.endpointsRun += call.currentAttempt->relayedTo ? call.progress.maxEndpoints : 1;
     }
 
     void reportAttemptEvent(const proxied_call& call, attempt_report::event event) const
     {
-        if (!outlets.reportAttempt || !state.versionShares.contains(call.service))
+        if (!outlets.reportAttempt || call.currentAttempt->relayedTo || !state.versionShares.contains(call.service))
             return;
         const attempt& current = *call.currentAttempt;
         outlets.reportAttempt({ call.service, current.version, call.route->name, event, current.placement.id, current.placement.expectedMs, endpointMs(current, clockNow()) });
@@ -467,7 +551,7 @@
             return refuse(call, { 503, "too_late", {} });
         }
         call.currentAttempt->channel->cancel();
-        crashes.attemptGivenUp(call, clockNow());
+        watchAttemptGivenUp(call);
         recordAttemptEnd(call, attempt_end::TimedOut);
         performStep(call, attempt_end::TimedOut, decideNext(call.progress, attempt_end::TimedOut));
     }
@@ -488,7 +572,7 @@
     {
         const attempt& current = *call.currentAttempt;
         current.channel->cancel();
-        crashes.attemptGivenUp(call, clockNow());
+        watchAttemptGivenUp(call);
         Scheduling::recordEnd(state.scheduler, current.placement.endpoint, current.placement.id, Scheduling::placement_end::Abandoned, clockNow());
         reportAttemptEvent(call, attempt_report::event::Abandoned);
     }
--- a/Source/Core/Gateway/GatewayState.cpp
+++ b/Source/Core/Gateway/GatewayState.cpp
@@ -102,6 +102,14 @@
     EndpointLimits::applyMessage(state.endpointLimits, message.from, message.message, now);
 }
 
+void applyMessage(gateway_state& state, const relay_peers_update& message, Common::instant)
+{
+    state.relayPeers = message.peers;
+    std::erase_if(state.unusableRelays, [&message](const auto& entry) {
+        return std::none_of(message.peers.begin(), message.peers.end(), [&entry](const relay_peer& peer) { return peer.node == entry.first; });
+    });
+}
+
 void applyMessage(gateway_state& state, const leave_started&, Common::instant now)
 {
     if (!state.leavingSince)
--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -27,6 +27,8 @@
     Quarantine::quarantine_state quarantine;
     Quarantine::crash_evidence crashEvidence;
     std::map<Common::service_name, version_share_update> versionShares;
+    std::vector<relay_peer> relayPeers;
+    std::map<Common::node_id, Common::instant> unusableRelays; ///< Until when each gets no relayed requests.
     interval_report interval; ///< Collected since the last report.
     std::optional<Common::instant> leavingSince;
 };
@@ -51,6 +53,7 @@
 void applyMessage(gateway_state& state, const quarantine_statement_received& message, Common::instant now);
 void applyMessage(gateway_state& state, const quarantines_read& message, Common::instant now);
 void applyMessage(gateway_state& state, const endpoint_limit_received& message, Common::instant now);
+void applyMessage(gateway_state& state, const relay_peers_update& message, Common::instant now);
 void applyMessage(gateway_state& state, const leave_started& message, Common::instant now);
 
 /// Ends the current report interval and starts the next.
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -63,10 +63,24 @@
     EndpointLimits::limit_message message;
 };
 
+/// Another node that may relay requests.
+struct relay_peer {
+    Common::node_id node;
+    std::string address; ///< Where callers connect: IP number and port.
+    Common::zone_name zone;
+
+    friend bool operator==(const relay_peer&, const relay_peer&) = default;
+};
+
+/// The other nodes that are up and don't leave.
+struct relay_peers_update {
+    std::vector<relay_peer> peers;
+};
+
 /// This node starts to leave the cluster and drains its requests.
 struct leave_started { };
 
-using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, grants_received, version_share_update, quarantine_statement_received, quarantines_read, endpoint_limit_received, leave_started>;
+using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, grants_received, version_share_update, quarantine_statement_received, quarantines_read, endpoint_limit_received, relay_peers_update, leave_started>;
 
 /// The start or end of an attempt, from which a rollout evaluates the version.
 struct attempt_report {
--- a/Source/Core/Gateway/WireFormat.h
+++ b/Source/Core/Gateway/WireFormat.h
@@ -23,6 +23,7 @@
     std::optional<milliseconds> timeBudget; ///< How long the caller waits, from the arrival of the request.
     std::optional<Scheduling::model_request> model;
     std::optional<uint64_t> lastEventId; ///< The caller continues a stream after this event.
+    std::optional<uint32_t> relayedEndpoints; ///< Set if another node relays the request: endpoints that may still get it.
     std::vector<Http::header> forwardedHeaders; ///< Header lines forwarded to the endpoint unchanged.
 };
 
@@ -58,17 +59,23 @@
     std::optional<Scheduling::reported_load> load;
     std::optional<milliseconds> keepAlive; ///< How long the endpoint keeps an idle connection open.
     bool hasContentEncoding { false };
+    bool hasNoPath { false }; ///< Of another node: it reaches no endpoint, and has sent the request to none.
     std::vector<Http::header> forwardedHeaders; ///< Header lines forwarded to the caller unchanged.
 };
 
 /// Parses and writes header lines; supplied by the adapter for callers and endpoints.
 struct wire_format {
     request_facts (*readRequest)(const std::vector<Http::header>& lines) { nullptr };
+    /// @return all header lines of a request that is relayed through another node.
+    /// @param endpoints to which the other node may send it.
+    std::vector<Http::header> (*writeRelayed)(const request_facts& request, const attempt_facts& attempt, uint32_t endpoints) { nullptr };
     /// @return all header lines of an attempt, including the forwarded ones.
     std::vector<Http::header> (*writeAttempt)(const request_facts& request, const attempt_facts& attempt) { nullptr };
     response_facts (*readResponse)(const std::vector<Http::header>& lines) { nullptr };
     /// @return header lines of a response that the gateway itself generates.
     std::vector<Http::header> (*writeGatewayResponse)(const request_facts& request, std::optional<milliseconds> retryAfter) { nullptr };
+    /// @return header lines of the response to a relayed request by a node that reaches no endpoint either.
+    std::vector<Http::header> (*writeNoPathResponse)(const request_facts& request) { nullptr };
 };
 
 } // namespace Gateway
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -312,6 +312,13 @@
         endpoint.ejectedUntil = now + pause;
     }
 
+    /// Each further attempt at an endpoint that can't be reached costs a request the time to connect, so the pause doubles.
+    void ejectUnreachable(endpoint_state& endpoint, Common::instant now)
+    {
+        const uint32_t doublings = std::min(endpoint.consecutiveUnreachable++, 3U);
+        endpoint.ejectedUntil = now + std::min(unreachableEjection * (1U << doublings), maxEjection);
+    }
+
 } // namespace
 
 void updateEndpoint(scheduler_state& state, const Fleet::endpoint& endpoint, Common::instant now)
@@ -386,9 +393,10 @@
     switch (end) {
     case placement_end::Served:
         found->consecutiveFailures = 0;
+        found->consecutiveUnreachable = 0;
         return;
     case placement_end::Unreachable:
-        found->ejectedUntil = now + unreachableEjection;
+        ejectUnreachable(*found, now);
         return;
     case placement_end::Failed:
         if (++found->consecutiveFailures >= failuresBeforeEjection)
@@ -400,6 +408,16 @@
     }
 }
 
+void readmitEndpoints(scheduler_state& state, const Common::service_name& service)
+{
+    for (auto& [id, endpoint] : state.endpoints) {
+        if (endpoint.facts.service != service)
+            continue;
+        endpoint.ejectedUntil = {};
+        endpoint.consecutiveUnreachable = 0;
+    }
+}
+
 size_t countPlaced(const scheduler_state& state, const Common::endpoint_id& endpoint)
 {
     const auto found = state.endpoints.find(endpoint);
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -43,6 +43,7 @@
     double latencyFactor { 1 }; ///< Correction of predicted times, adapted to the observed ones.
     prompt_cache cache;
     uint32_t consecutiveFailures { 0 };
+    uint32_t consecutiveUnreachable { 0 }; ///< Attempts that got no connection.
     Common::instant ejectedUntil;
     Common::instant warmUpEnd; ///< End of the warm-up after the endpoint's start.
 };
@@ -140,6 +141,9 @@
 /// Records the end of a placed request; repeated failures eject the endpoint for a while.
 void recordEnd(scheduler_state& state, const Common::endpoint_id& endpoint, placement_id id, placement_end end, Common::instant now);
 
+/// Ends the ejection of all endpoints of a service: this node had lost its paths to them.
+void readmitEndpoints(scheduler_state& state, const Common::service_name& service);
+
 /// @return this node's requests at the endpoint that haven't ended.
 size_t countPlaced(const scheduler_state& state, const Common::endpoint_id& endpoint);
 
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -93,6 +93,7 @@
     Membership::member_map members; ///< As seen by the peers. Guarded by nodesMutex.
     std::map<Common::node_id, Common::instant> deadSince;
     std::map<Common::node_id, Common::instant> unknownToPeersSince; ///< Listed in the store, unknown to the peers.
+    std::vector<Gateway::relay_peer> relayPeers; ///< As the gateway knows them. Guarded by nodesMutex.
     std::atomic<bool> isLeaving { false };
     std::atomic<bool> hasFailed { false };
 
@@ -246,9 +247,24 @@
             entry.isReachable = id == facts.node || isReachable(id);
             entry.isLeaving = entry.isLeaving || (id == facts.node && isLeaving);
         }
+        publishRelayPeers(reachable);
         directory.setNodes(reachable);
     }
 
+    /// Tells the gateway which other nodes may relay requests. The caller must hold nodesMutex.
+    void publishRelayPeers(const Fleet::node_map& current)
+    {
+        std::vector<Gateway::relay_peer> found;
+        for (const auto& [id, entry] : current) {
+            if (id != facts.node && entry.isReachable && !entry.isLeaving && !entry.clientAddress.empty())
+                found.push_back({ id, entry.clientAddress, entry.zone });
+        }
+        if (found == relayPeers)
+            return;
+        relayPeers = found;
+        static_cast<void>(gateway.submit(Gateway::relay_peers_update { std::move(found) }));
+    }
+
     /// Reports nodes that have been dead, or unknown to the peers, for deadNodeRemovalDelay. The caller must hold
     /// nodesMutex.
     void reportDeadNodes()
--- a/Tests/Platform/GatewayFleet.cpp
+++ b/Tests/Platform/GatewayFleet.cpp
@@ -12,6 +12,8 @@
 {
     for (const auto& script : scripts)
         endpoints.push_back(std::make_unique<scripted_endpoint>(script));
+    for (member& item : m_members)
+        item.port = findFreePort();
     for (size_t node = 0; node < nodeCount; ++node)
         start(node);
 }
@@ -65,11 +67,20 @@
         static_cast<void>(m_members[node].duty->submit(Gateway::endpoints_update { listing(node) }));
 }
 
+Gateway::relay_peers_update gateway_fleet::relayPeersOf(size_t node) const
+{
+    Gateway::relay_peers_update message;
+    for (size_t peer = 0; peer < m_members.size(); ++peer) {
+        if (peer != node)
+            message.peers.push_back({ idOf(peer), "127.0.0.1:" + std::to_string(m_members[peer].port), { "z" } });
+    }
+    return message;
+}
+
 void gateway_fleet::start(size_t node)
 {
     Gateway::gateway_settings settings;
     member& started = m_members[node];
-    started.port = findFreePort();
     settings.facts.node = idOf(node);
     settings.facts.listen.callers = "127.0.0.1:" + std::to_string(started.port);
     settings.facts.zone = { "z" };
@@ -93,6 +104,7 @@
             known.peers.insert(idOf(peer));
     }
     static_cast<void>(duty->submit(std::move(known)));
+    static_cast<void>(duty->submit(relayPeersOf(node)));
     static_cast<void>(duty->submit(readStored()));
     static_cast<void>(duty->submit(Gateway::catalog_update { makeTestCatalog() }));
     static_cast<void>(duty->submit(Gateway::endpoints_update { listing(node) }));
--- a/Tests/Platform/GatewayFleet.h
+++ b/Tests/Platform/GatewayFleet.h
@@ -43,6 +43,7 @@
 
     static Common::node_id idOf(size_t node);
     Fleet::endpoint_map listing(size_t node) const;
+    Gateway::relay_peers_update relayPeersOf(size_t node) const;
     void start(size_t node);
     void stop(size_t node);
     void store(const std::vector<Quarantine::stored_quarantine>& changes);
