Brittle endpoints are spared by all nodes together

Callers: an endpoint that says that it is brittle goes down when it has to turn away more than it bears, with all requests on it.

No more nodes use such an endpoint than it bears rejections, chosen by rendezvous hashing; each has its part of requests without a response there, and sends nothing for a second after a rejection. Requests that only endpoints of other nodes could serve are relayed to those; others wait up to 400 ms for room. A fall of a brittle endpoint is no evidence against requests.

What nodes are told is not passed on between them.

--- a/Source/Core/Gateway/EndpointDeclarations.cpp
+++ b/Source/Core/Gateway/EndpointDeclarations.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Log.h"
 #include "Gateway/AttemptOutcome.h"
+#include "Gateway/BrittleEndpoints.h"
 
 #include <algorithm>
 
@@ -87,6 +88,7 @@
         return false;
     applyBackoff(state, call, now);
     applyLimit(state, call, now);
+    applyBrittleness(state, call, now);
     return current.response.isLeaving && Scheduling::declareLeaving(state.scheduler.declarations, current.placement.endpoint, current.placement.started, now);
 }
 
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -6,6 +6,7 @@
 #include "Common/Text.h"
 #include "Gateway/Admission.h"
 #include "Gateway/AttemptOutcome.h"
+#include "Gateway/BrittleEndpoints.h"
 #include "Gateway/Call.h"
 #include "Gateway/CallLog.h"
 #include "Gateway/ChannelPool.h"
@@ -178,6 +179,8 @@
             placed = choosePlacement(state, call, clockNow());
         if (placed)
             return startAttempt(call, *placed);
+        if (relayToUser(call, placed.error()))
+            return;
         if (mayWaitForToken(state, call, placed.error(), clockNow()))
             return waitForToken(call);
         if (call.progress.endpointsRun > 0 || call.progress.hasHeadSent)
@@ -196,7 +199,19 @@
                 refuseWithoutPath(call);
             return !mayHaveRun;
         }
-        const std::optional<relay_peer> peer = chooseRelay(state, call, clockNow());
+        const std::optional<relay_peer> peer = chooseRelay(state, call, {}, clockNow());
+        if (peer)
+            startRelay(call, *peer);
+        return peer.has_value();
+    }
+
+    /// Relays a request that only brittle endpoints can serve to a node that uses one of them.
+    bool relayToUser(proxied_call& call, const Scheduling::refusal& refusal)
+    {
+        const std::set<Common::node_id> users = findUsers(state, refusal.limited);
+        if (users.empty() || call.facts.relayedEndpoints || call.progress.hasHeadSent)
+            return false;
+        const std::optional<relay_peer> peer = chooseRelay(state, call, users, clockNow());
         if (peer)
             startRelay(call, *peer);
         return peer.has_value();
@@ -389,6 +404,8 @@
     {
         attempt& current = *call.currentAttempt;
         current.isStartRecorded = true;
+        if (!waitingForToken.empty())
+            boost::asio::post(context, [this] { placeWaiting(); });
         if (current.response.hasNotRun || current.relayedTo)
             return;
         const Common::instant now = clockNow();
@@ -430,8 +447,10 @@
             return recordRelayEnd(state, call, outcome, clockNow());
         if (!current.headReceived)
             paths.suspect(call.service, clockNow());
-        // Without paths an endpoint's end can't be told from the cut.
-        if (!paths.areLost(call.service))
+        spareAfterRejection(state, call, outcome, clockNow());
+        // Without paths an endpoint's end can't be told from the cut, and a brittle one falls without a request's fault.
+        const bool isBroken = outcome == attempt_end::Broken || outcome == attempt_end::Failed;
+        if (!paths.areLost(call.service) && !(isBroken && isAtBrittleEndpoint(state, call)))
             crashes.attemptEnded(call, end, outcome, clockNow());
     }
 
@@ -443,7 +462,7 @@
             return;
         if (!current.headReceived && clockNow() - current.begun > minSilence)
             paths.suspect(call.service, clockNow());
-        if (!paths.areLost(call.service))
+        if (!paths.areLost(call.service) && !isAtBrittleEndpoint(state, call))
             crashes.attemptGivenUp(call, clockNow());
     }
 
--- a/Source/Core/Gateway/Placement.cpp
+++ b/Source/Core/Gateway/Placement.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/Placement.h"
 
+#include "Gateway/BrittleEndpoints.h"
+
 #include <algorithm>
 
 namespace Gateway {
@@ -39,7 +41,7 @@
     /// @return the endpoints of the service that take no more requests now.
     std::set<Common::endpoint_id> findLimited(gateway_state& state, const Common::service_name& service, Common::instant now)
     {
-        std::set<Common::endpoint_id> limited;
+        std::set<Common::endpoint_id> limited = findFullBrittle(state, service);
         for (const auto& [id, record] : state.endpointLimits.table) {
             const auto endpoint = state.scheduler.endpoints.find(id);
             if (endpoint == state.scheduler.endpoints.end() || endpoint->second.facts.service != service)
@@ -52,8 +54,10 @@
 
     void recordMissedTokens(gateway_state& state, const std::vector<Common::endpoint_id>& endpoints)
     {
-        for (const Common::endpoint_id& id : endpoints)
-            EndpointLimits::recordMissedToken(state.endpointLimits, startOf(state, id));
+        for (const Common::endpoint_id& id : endpoints) {
+            if (EndpointLimits::findLimit(state.endpointLimits.table, startOf(state, id)))
+                EndpointLimits::recordMissedToken(state.endpointLimits, startOf(state, id));
+        }
     }
 
     /// @return when the first of the endpoints may take a request; the given time if none is limited.
@@ -108,6 +112,8 @@
         return false;
     if (call.tokenWaitEnd && now >= *call.tokenWaitEnd)
         return false;
+    if (hasFullBrittle(state, refusal.limited))
+        return true;
     return std::any_of(refusal.limited.begin(), refusal.limited.end(), [&state](const Common::endpoint_id& id) {
         return EndpointLimits::isAwaitingGrant(state.endpointLimits, startOf(state, id));
     });
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -27,12 +27,14 @@
 
 } // namespace
 
-std::optional<relay_peer> chooseRelay(gateway_state& state, const proxied_call& call, Common::instant now)
+std::optional<relay_peer> chooseRelay(gateway_state& state, const proxied_call& call, const std::set<Common::node_id>& among, Common::instant now)
 {
     std::vector<relay_peer> nearest;
     distance nearestDistance = distance::Far;
     for (const relay_peer& peer : state.relayPeers) {
         const auto unusable = state.unusableRelays.find(peer.node);
+        if (!among.empty() && !among.contains(peer.node))
+            continue;
         if (call.triedRelays.contains(peer.node) || (unusable != state.unusableRelays.end() && now < unusable->second))
             continue;
         const distance peerDistance = distanceTo(state.scheduler.ownLocation, peer);
--- a/Source/Core/Gateway/WireFormat.h
+++ b/Source/Core/Gateway/WireFormat.h
@@ -42,7 +42,8 @@
     std::optional<std::chrono::duration<double>> time; ///< Any number of seconds; empty if the text is no number.
 };
 
-/// How many requests per second an endpoint takes from all nodes together, as its response states it.
+/// How many requests per second an endpoint takes, or bears to turn away, from all nodes together, as its response states
+/// it.
 struct stated_limit {
     std::string text; ///< As sent, for logs.
     std::optional<double> perSecond; ///< Empty if the text is not one finite number of zero or more.
@@ -56,6 +57,7 @@
     bool isLeaving { false }; ///< The endpoint states that it is leaving.
     std::optional<stated_backoff> backoff;
     std::optional<stated_limit> limit;
+    std::optional<stated_limit> brittle; ///< Rejections per second that the endpoint bears.
     std::optional<Scheduling::reported_load> load;
     std::optional<milliseconds> keepAlive; ///< How long the endpoint keeps an idle connection open.
     bool hasContentEncoding { false };
--- a/Source/Core/Scheduling/Declarations.cpp
+++ b/Source/Core/Scheduling/Declarations.cpp
@@ -48,6 +48,18 @@
     entry->backoffEnd = std::max(entry->backoffEnd, end);
 }
 
+bool declareBrittle(declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started, std::optional<double> rejections, Common::instant now)
+{
+    // Most endpoints are never brittle and need no entry.
+    if (!rejections && !findDeclaration(declarations, id, started))
+        return false;
+    declaration* entry = findOrAdd(declarations, id, started);
+    if (!entry)
+        return false;
+    entry->declaredAt = now;
+    return std::exchange(entry->bearableRejections, rejections) != rejections;
+}
+
 const declaration* findDeclaration(const declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started)
 {
     const auto found = declarations.find(id);
--- a/Source/Core/Scheduling/Declarations.h
+++ b/Source/Core/Scheduling/Declarations.h
@@ -7,6 +7,7 @@
 #include "Fleet/EndpointRegistry.h"
 
 #include <map>
+#include <optional>
 
 namespace Scheduling {
 
@@ -15,6 +16,7 @@
     Fleet::start_time started; ///< The start that declared it.
     bool isLeaving { false };
     Common::instant backoffEnd {}; ///< It wants no requests before.
+    std::optional<double> bearableRejections {}; ///< Per second and from all nodes: it goes down when it has to turn away more.
     Common::instant declaredAt {}; ///< When the newest declaration arrived.
 };
 
@@ -40,6 +42,15 @@
 /// @param now current time.
 void declareBackoff(declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started, Common::instant end, Common::instant now);
 
+/// Records whether an endpoint goes down when it has to turn away too many requests.
+/// @param declarations changed in place.
+/// @param id of the endpoint.
+/// @param started the start that said so; a start before the last known one is ignored.
+/// @param rejections that it bears per second; empty if it doesn't say that it is brittle.
+/// @param now current time.
+/// @return whether this was not known.
+bool declareBrittle(declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started, std::optional<double> rejections, Common::instant now);
+
 /// @return the declarations of this start of the endpoint; null when there are none.
 const declaration* findDeclaration(const declaration_map& declarations, const Common::endpoint_id& id, Fleet::start_time started);
 
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -424,6 +424,15 @@
     return found == state.endpoints.end() ? 0 : found->second.placed.size();
 }
 
+size_t countUnanswered(const scheduler_state& state, const Common::endpoint_id& endpoint)
+{
+    const auto found = state.endpoints.find(endpoint);
+    if (found == state.endpoints.end())
+        return 0;
+    const auto& placed = found->second.placed;
+    return static_cast<size_t>(std::count_if(placed.begin(), placed.end(), [](const auto& entry) { return !entry.second.hasBegun; }));
+}
+
 void recordReportedLoad(scheduler_state& state, const Common::endpoint_id& endpoint, const reported_load& load, Common::instant now)
 {
     endpoint_state* found = find(state, endpoint);
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -147,6 +147,9 @@
 /// @return this node's requests at the endpoint that haven't ended.
 size_t countPlaced(const scheduler_state& state, const Common::endpoint_id& endpoint);
 
+/// @return this node's requests at the endpoint that it hasn't begun to answer.
+size_t countUnanswered(const scheduler_state& state, const Common::endpoint_id& endpoint);
+
 /// Stores the load that an endpoint reported.
 void recordReportedLoad(scheduler_state& state, const Common::endpoint_id& endpoint, const reported_load& load, Common::instant now);
 
