Model work that ended engines is refused when it comes again, and bounded when it breaks off after tokens

Callers of the own interface: a request under which three engines broke off was sent to three more each time it came, and one that broke off after some tokens was sent on without end. Cause: what was learned ended with the request, and only attempts without a token counted. Now such a request is known by account, class and body, and refused for a minute; eight cut attempts end a request also if tokens came.

--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -4,6 +4,7 @@
 /// The decisions of the dispatch duty, from a caller's request to its complete answer. Times are passed in and all
 /// output is returned as actions, so nothing here reads a clock or a socket.
 
+#include "Dispatch/RefusedWork.h"
 #include "Dispatch/Request.h"
 #include "Limits/AccountRetryBudget.h"
 #include "Limits/Admission.h"
@@ -38,6 +39,7 @@
     std::unordered_map<uint64_t, request_entry*> byAttempt; ///< Key: number of the attempt in progress.
     std::unordered_map<uint64_t, request_entry*> byCaller; ///< Key: token of the connected caller.
     std::map<std::string, Rollout::publish_shares> sharesByService;
+    refused_work refused;
     uint64_t lastAttempt { 0 };
     uint64_t lastRequest { 0 };
     bool isDraining { false };
--- a/Source/Core/Dispatch/ModelWork.cpp
+++ b/Source/Core/Dispatch/ModelWork.cpp
@@ -25,6 +25,8 @@
     constexpr std::chrono::milliseconds offerTimeLimit { 1500 };
     /// A request that breaks off at so many engines before their first token may be what ends them.
     constexpr uint32_t maxAttemptsCut = 3;
+    /// The same, if tokens came before.
+    constexpr uint32_t maxAttemptsCutInAll = 8;
     /// Added to the reconnect grace of a transferred request: callers of the node that left learn the new address only
     /// when their connection ends.
     constexpr std::chrono::seconds transferGrace { 20 };
@@ -57,9 +59,23 @@
         request.notBefore = context.clock.now + delay;
     }
 
+    void failRequest(step_context& context, request_entry& request, const Common::failure& reason)
+    {
+        recordEvent(context, "request_failed", request, { { "code", nameOf(reason.kind) }, { "attempts", request.attemptsBegun }, { "tokens", request.tokens.ends.size() } });
+        if (request.caller && request.isStreamed)
+            context.output.push_back(send_stream_failure { *request.caller, request.id, reason });
+        else if (request.caller)
+            context.output.push_back(send_failure { *request.caller, request.id, reason });
+        removeRequest(context, request);
+    }
+
     void beginAttempt(step_context& context, request_entry& request)
     {
         request.isOffered = false;
+        if (isWorkRefused(context.state.refused, fingerprintOf(request), context.clock.now)) {
+            failRequest(context, request, { Common::failure_kind::EndpointFailed, request.work.name.value, request.attemptsBegun > 0 ? Common::run_state::Unknown : Common::run_state::NotRun, 0 });
+            return;
+        }
         if (!assignEndpoint(context, request)) {
             park(context, request, noEndpointRetryDelay);
             return;
@@ -100,16 +116,6 @@
             context.output.push_back(send_completion { *request.caller, request.id, request.work.name, request.tokens.text, request.finishReason, count });
     }
 
-    void failRequest(step_context& context, request_entry& request, const Common::failure& reason)
-    {
-        recordEvent(context, "request_failed", request, { { "code", nameOf(reason.kind) }, { "attempts", request.attemptsBegun }, { "tokens", request.tokens.ends.size() } });
-        if (request.caller && request.isStreamed)
-            context.output.push_back(send_stream_failure { *request.caller, request.id, reason });
-        else if (request.caller)
-            context.output.push_back(send_failure { *request.caller, request.id, reason });
-        removeRequest(context, request);
-    }
-
     /// Sends the end of the answer. Without a connected caller the answer is kept for the reconnect grace.
     void finishRequest(step_context& context, request_entry& request)
     {
@@ -155,7 +161,9 @@
             request.attemptsCut = 0;
         else if (end == Http::transfer_end::Cut)
             ++request.attemptsCut;
-        return request.attemptsCut >= maxAttemptsCut;
+        if (end == Http::transfer_end::Cut)
+            ++request.attemptsCutInAll;
+        return request.attemptsCut >= maxAttemptsCut || request.attemptsCutInAll >= maxAttemptsCutInAll;
     }
 
     bool isPermanentRefusal(const attempt_ended& message)
@@ -249,6 +257,7 @@
     }
     if (isLikelyCause(request, message.end)) {
         closeAttempt(context, request, describeOutcome(context, request, true));
+        refuseWork(context.state.refused, fingerprintOf(request), context.clock.now);
         failRequest(context, request, { Common::failure_kind::EndpointFailed, request.work.name.value, Common::run_state::Unknown, 0 });
         return;
     }
--- a/Source/Core/Dispatch/Request.h
+++ b/Source/Core/Dispatch/Request.h
@@ -62,6 +62,7 @@
     std::optional<attempt_info> attempt;
     uint32_t attemptsBegun { 0 };
     uint32_t attemptsCut { 0 }; ///< In a row, after which no token had come.
+    uint32_t attemptsCutInAll { 0 };
     std::vector<Common::endpoint_id> avoided; ///< Endpoints at which an attempt of this request failed.
     token_log tokens;
     uint64_t sentToCaller { 0 }; ///< Number of tokens passed to the caller's connection.
