Relays: nodes without paths are left out for longer, their zone is asked last

Traced: each cut node forgot after a second which others had no path either, asked three at random and gave up; with four of five cut, one in four such requests met only cut ones. A node without paths is now left out for 3 s, up to eight are asked for a request, and a zone with two of them is asked last, so that the loss of a whole zone costs two tries at 300 nodes too. A node that leaves or has no catalog yet lets another relay. New rows: paths to some endpoints only, paths that come and go.

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -93,14 +93,14 @@
 {
     call.catalog = state.catalog;
     if (!call.catalog)
-        return request_rejection { 503, "not_ready", retryAfterNotReady };
+        return request_rejection { 503, notReadyReason, retryAfterNotReady };
     call.route = Catalog::findRoute(*call.catalog, Http::findHeader(call.request.headers, "host"), pathOf(call.request.target));
     if (!call.route)
         return request_rejection { 404, "unknown_route", {} };
     if (!authorize(call))
         return request_rejection { 401, "unknown_key", {} };
     if (state.leavingSince && !canFinishBeforeLeaving(state, call))
-        return request_rejection { 503, "leaving", retryAfterLeaving };
+        return request_rejection { 503, leavingReason, retryAfterLeaving };
     setDeadlineAndRetryLimits(call);
     call.service = Catalog::chooseService(*call.route, Common::uniformUnit(state.scheduler.random));
     call.fingerprints = Quarantine::fingerprintsOf({ call.service, call.account, call.request.method, call.request.target, call.request.body }, call.facts.model ? &*call.facts.model : nullptr);
--- a/Source/Core/Gateway/Admission.h
+++ b/Source/Core/Gateway/Admission.h
@@ -12,6 +12,10 @@
 
 namespace Gateway {
 
+/// Reasons that lie in the state of this node.
+constexpr std::string_view notReadyReason = "not_ready";
+constexpr std::string_view leavingReason = "leaving";
+
 /// An error response of the gateway itself, sent when no endpoint ran the request.
 struct request_rejection {
     int status { 0 };
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -72,6 +72,12 @@
         return std::any_of(call.fingerprints.begin(), call.fingerprints.end(), [&](Quarantine::fingerprint item) { return fingerprints.contains(item); });
     }
 
+    /// @return whether a request is rejected for the state of this node alone.
+    bool isOfNodeItself(const request_rejection& rejection)
+    {
+        return rejection.reason == notReadyReason || rejection.reason == leavingReason;
+    }
+
     std::string errorBody(std::string_view error)
     {
         return fmt::format("{{\"error\":\"{}\"}}", error);
@@ -472,6 +478,9 @@
         Scheduling::recordEnd(state.scheduler, current.placement.endpoint, current.placement.id, placementEndOf(outcome), clockNow());
         Common::countMetric(fmt::format("filbertreel_attempts_total{{service=\"{}\",end=\"{}\"}}", call.service.value, nameOf(outcome)));
         reportAttemptEvent(call, versionEventOf(call, outcome, clockNow()));
+        // The number of relays has a bound of its own.
+        if (outcome == attempt_end::NotSent && call.currentAttempt->relayedTo)
+            return;
         if (outcome == attempt_end::NotSent || outcome == attempt_end::NotRun)
             ++call.progress.refusals;
         else
@@ -534,6 +543,9 @@
 
     void refuse(proxied_call& call, const request_rejection& rejection)
     {
+        // Another node can relay the request instead.
+        if (call.facts.relayedEndpoints && call.attemptCount == 0 && isOfNodeItself(rejection))
+            return refuseWithoutPath(call);
         if (call.allowanceTaken > 0)
             Quota::refund(state.quota, call.account, call.allowanceTaken);
         Common::countMetric(fmt::format("filbertreel_refusals_total{{reason=\"{}\"}}", rejection.reason));
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -1,13 +1,18 @@
 #include "Gateway/Relay.h"
 
-#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
 
 namespace Gateway {
 
 namespace {
 
     /// A node that couldn't relay a request gets no more of them for this time.
-    constexpr milliseconds unusableTime { 1000 };
+    constexpr milliseconds unusableTime { 3000 };
+    /// With so many of them in a zone, the zone's other nodes are asked last: they may all have lost their paths.
+    constexpr size_t unusableInSuspectZone = 2;
+    constexpr size_t maxRelaysTried = 8;
     constexpr int badGatewayStatus = 502;
     constexpr int gatewayTimeoutStatus = 504;
 
@@ -15,8 +20,31 @@
         SameZone,
         SameRegion,
         Far,
+        SuspectZone,
     };
 
+    bool isUnusable(const gateway_state& state, const relay_peer& peer, Common::instant now)
+    {
+        const auto unusable = state.unusableRelays.find(peer.node);
+        return unusable != state.unusableRelays.end() && now < unusable->second;
+    }
+
+    /// @return the zones in which several nodes couldn't relay.
+    std::set<Common::zone_name> findSuspectZones(const gateway_state& state, Common::instant now)
+    {
+        std::map<Common::zone_name, size_t> unusable;
+        for (const relay_peer& peer : state.relayPeers) {
+            if (isUnusable(state, peer, now))
+                ++unusable[peer.zone];
+        }
+        std::set<Common::zone_name> suspect;
+        for (const auto& [zone, count] : unusable) {
+            if (count >= unusableInSuspectZone)
+                suspect.insert(zone);
+        }
+        return suspect;
+    }
+
     distance distanceTo(const Scheduling::location& own, const relay_peer& peer)
     {
         if (peer.zone == own.zone)
@@ -29,21 +57,23 @@
 
 std::optional<relay_peer> chooseRelay(gateway_state& state, const proxied_call& call, const std::set<Common::node_id>& among, Common::instant now)
 {
+    if (call.triedRelays.size() >= maxRelaysTried)
+        return {};
+    const std::set<Common::zone_name> suspectZones = findSuspectZones(state, now);
     std::vector<relay_peer> nearest;
-    distance nearestDistance = distance::Far;
+    distance nearestDistance = distance::SuspectZone;
     for (const relay_peer& peer : state.relayPeers) {
-        const auto unusable = state.unusableRelays.find(peer.node);
         if (!among.empty() && !among.contains(peer.node))
             continue;
-        if (call.triedRelays.contains(peer.node) || (unusable != state.unusableRelays.end() && now < unusable->second))
+        if (call.triedRelays.contains(peer.node) || isUnusable(state, peer, now))
+            continue;
+        const distance peerDistance = suspectZones.contains(peer.zone) ? distance::SuspectZone : distanceTo(state.scheduler.ownLocation, peer);
+        if (peerDistance > nearestDistance)
             continue;
-        const distance peerDistance = distanceTo(state.scheduler.ownLocation, peer);
         if (peerDistance < nearestDistance)
             nearest.clear();
-        if (nearest.empty() || peerDistance == nearestDistance) {
-            nearest.push_back(peer);
-            nearestDistance = peerDistance;
-        }
+        nearestDistance = peerDistance;
+        nearest.push_back(peer);
     }
     if (nearest.empty())
         return {};
--- a/Tests/Platform/LostPathsTest.cpp
+++ b/Tests/Platform/LostPathsTest.cpp
@@ -32,6 +32,8 @@
     path_state state;
     size_t nodes;
     size_t cutNodes;
+    size_t cutEndpoints { endpointCount };
+    milliseconds soundTime { 0 }; ///< If set, the paths come back for this time again and again, and are away as long.
 };
 
 struct node_counts {
@@ -73,11 +75,11 @@
         fleet.sendListing();
     }
 
-    void setState(path_state state)
+    void setState(path_state state, size_t endpoints)
     {
         for (auto& ofNode : links) {
-            for (auto& link : ofNode)
-                link->setState(state);
+            for (size_t endpoint = 0; endpoint < endpoints; ++endpoint)
+                ofNode[endpoint]->setState(state);
         }
     }
 };
@@ -123,7 +125,13 @@
     for (size_t node = 0; node < item.nodes; ++node)
         callers.push_back(std::async(std::launch::async, [&, node] { return callNode(fleet, node, item, start); }));
     std::this_thread::sleep_until(start + cutAfter);
-    paths.setState(item.state);
+    paths.setState(item.state, item.cutEndpoints);
+    for (auto changeAt = start + cutAfter + item.soundTime; item.soundTime.count() > 0 && changeAt < start + cutAfter + contactTime + observed; changeAt += 2 * item.soundTime) {
+        std::this_thread::sleep_until(changeAt);
+        paths.setState(path_state::Sound, item.cutEndpoints);
+        std::this_thread::sleep_until(changeAt + item.soundTime);
+        paths.setState(item.state, item.cutEndpoints);
+    }
     row_result result;
     for (size_t node = 0; node < item.nodes; ++node) {
         const node_counts counts = callers[node].get();
@@ -165,6 +173,9 @@
         { "reset, all nodes but one", all, path_state::Reset, 5, 4 },
         { "new connections alone, one of three nodes", all, path_state::NewSilent, 3, 1 },
         { "new connections alone, half of six nodes", all, path_state::NewSilent, 6, 3 },
+        { "silent, to two of three endpoints", all, path_state::Silent, 3, 1, 2 },
+        { "reset, to one of three endpoints", all, path_state::Reset, 3, 2, 1 },
+        { "silent, away and back every two seconds", all, path_state::Silent, 3, 1, endpointCount, milliseconds(2000) },
         { "no cut", all, path_state::Sound, 3, 1 },
     };
     std::string failed;
