Requests that limited endpoints don't take count as demand for other endpoints

A limited endpoint serves less than the plan assumes; only attempts counted, so that refusals of our own would have looked like less demand. Each model request counts once, at its first refusal for want of tokens.

--- a/Source/Core/Gateway/Placement.cpp
+++ b/Source/Core/Gateway/Placement.cpp
@@ -71,14 +71,23 @@
         return std::max(refusal.retryAfter, earliest.value_or(refusal.retryAfter));
     }
 
+    /// A request that limited endpoints don't take is demand that others would have to serve.
+    void recordUnservedDemand(gateway_state& state, const proxied_call& call)
+    {
+        const bool isCounted = call.attemptCount > 0 || call.tokenWaitEnd || !call.facts.model;
+        if (!isCounted)
+            state.interval.demand.engineMs[call.service] += Scheduling::engineMs(state.scheduler, call.service, call.facts.model->promptTokens, *call.facts.model);
+    }
+
     /// Records the use of tokens, and which ones are missing.
-    void recordTokens(gateway_state& state, tl::expected<Scheduling::placement, Scheduling::refusal>& placed, Common::instant now)
+    void recordTokens(gateway_state& state, const proxied_call& call, tl::expected<Scheduling::placement, Scheduling::refusal>& placed, Common::instant now)
     {
         if (!placed) {
             recordMissedTokens(state, placed.error().limited);
-            if (placed.error().reason == Scheduling::refusal_reason::Limited)
-                placed.error().retryAfter = retryAfterLimited(state, placed.error(), now);
-            return;
+            if (placed.error().reason != Scheduling::refusal_reason::Limited)
+                return;
+            placed.error().retryAfter = retryAfterLimited(state, placed.error(), now);
+            return recordUnservedDemand(state, call);
         }
         recordMissedTokens(state, placed->betterLimited);
         EndpointLimits::useToken(state.endpointLimits, { placed->endpoint, placed->started }, now);
@@ -101,7 +110,7 @@
         limits.onlyVersion.reset();
         placed = Scheduling::place(state.scheduler, workOf(call), limits, now);
     }
-    recordTokens(state, placed, now);
+    recordTokens(state, call, placed, now);
     return placed;
 }
 
