Relays: a silent node is left out, and failures without paths say nothing about a version

Found by reading the relay once more: a frozen node stayed a relay until the members called it dead, and a node cut from the endpoints counted its hung attempts against the version being rolled out. RelayTest has the rows for the first; the second has no test of its own yet.

--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -465,7 +465,7 @@
     {
         const attempt& current = *call.currentAttempt;
         if (current.relayedTo)
-            return;
+            return recordRelayEnd(state, call, attempt_end::TimedOut, clockNow());
         if (!current.headReceived && clockNow() - current.begun > minSilence)
             paths.suspect(call.service, clockNow());
         if (!paths.areLost(call.service) && !isAtBrittleEndpoint(state, call))
@@ -477,7 +477,8 @@
         attempt& current = *call.currentAttempt;
         Scheduling::recordEnd(state.scheduler, current.placement.endpoint, current.placement.id, placementEndOf(outcome), clockNow());
         Common::countMetric(fmt::format("filbertreel_attempts_total{{service=\"{}\",end=\"{}\"}}", call.service.value, nameOf(outcome)));
-        reportAttemptEvent(call, versionEventOf(call, outcome, clockNow()));
+        // Without paths a failure says nothing about the endpoint's version.
+        reportAttemptEvent(call, paths.areLost(call.service) ? attempt_report::event::Abandoned : versionEventOf(call, outcome, clockNow()));
         // The number of relays has a bound of its own.
         if (outcome == attempt_end::NotSent && call.currentAttempt->relayedTo)
             return;
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -13,6 +13,8 @@
     /// With so many of them in a zone, the zone's other nodes are asked last: they may all have lost their paths.
     constexpr size_t unusableInSuspectZone = 2;
     constexpr size_t maxRelaysTried = 8;
+    /// A node that hasn't begun to answer in this time may be frozen or cut off.
+    constexpr milliseconds minSilence { 1000 };
     constexpr int badGatewayStatus = 502;
     constexpr int gatewayTimeoutStatus = 504;
 
@@ -82,7 +84,8 @@
 
 void recordRelayEnd(gateway_state& state, const proxied_call& call, attempt_end outcome, Common::instant now)
 {
-    if (outcome == attempt_end::NotSent)
+    const bool isSilent = !call.currentAttempt->headReceived && now - call.currentAttempt->begun > minSilence;
+    if (outcome == attempt_end::NotSent || isSilent)
         state.unusableRelays[*call.currentAttempt->relayedTo] = now + unusableTime;
 }
 
--- a/Source/Core/Gateway/Tests/RelayTest.cpp
+++ b/Source/Core/Gateway/Tests/RelayTest.cpp
@@ -76,3 +76,30 @@
     call.triedRelays.insert({ "z2-1" });
     CHECK_FALSE(chooseRelay(state, call, { { "z2-1" } }, now).has_value());
 }
+
+TEST(Relay, ANodeThatIsSilentIsLeftOutForAWhile)
+{
+    struct row {
+        const char* condition;
+        milliseconds waited;
+        bool hasHead;
+        bool isLeftOut;
+    };
+    const row rows[] = {
+        { "no head within a second", milliseconds(1200), false, true },
+        { "the caller gave up sooner", milliseconds(200), false, false },
+        { "a response that took long", milliseconds(1200), true, false },
+    };
+    for (const row& item : rows) {
+        gateway_state state = makeState({ "", { 1 }, { 0 }, 1 });
+        proxied_call call;
+        attempt& current = call.currentAttempt.emplace();
+        current.relayedTo = state.relayPeers.front().node;
+        current.begun = now - item.waited;
+        if (item.hasHead)
+            current.headReceived = now;
+        recordRelayEnd(state, call, attempt_end::TimedOut, now);
+        CHECK_EQUAL_TEXT(!item.isLeftOut, chooseRelay(state, {}, {}, now).has_value(), item.condition);
+        CHECK_TEXT(chooseRelay(state, {}, {}, now + milliseconds(3100)).has_value(), item.condition);
+    }
+}
