--- a/Source/Core/Gateway/AttemptOutcome.cpp
+++ b/Source/Core/Gateway/AttemptOutcome.cpp
@@ -89,7 +89,7 @@
     return Scheduling::placement_end::Abandoned;
 }
 
-attempt_report::event versionEventOf(const proxied_call& call, attempt_end outcome, Common::instant now)
+attempt_report::event versionEventOf(const proxied_call& call, attempt_end outcome, bool hasPaths, Common::instant now)
 {
     switch (outcome) {
     case attempt_end::Answered:
@@ -97,7 +97,7 @@
     case attempt_end::Failed:
     case attempt_end::Broken:
     case attempt_end::TimedOut:
-        return attempt_report::event::Failed;
+        return hasPaths ? attempt_report::event::Failed : attempt_report::event::Abandoned;
     case attempt_end::NotSent:
     case attempt_end::NotRun:
         return attempt_report::event::Abandoned;
--- a/Source/Core/Gateway/AttemptOutcome.h
+++ b/Source/Core/Gateway/AttemptOutcome.h
@@ -39,8 +39,9 @@
 
 /// @param call a request whose current attempt has ended.
 /// @param outcome of the attempt.
+/// @param hasPaths whether this node reaches endpoints of the service; if not, a failure says nothing about the version.
 /// @param now current time.
 /// @return the outcome as a rollout counts it for the endpoint's version.
-attempt_report::event versionEventOf(const proxied_call& call, attempt_end outcome, Common::instant now);
+attempt_report::event versionEventOf(const proxied_call& call, attempt_end outcome, bool hasPaths, Common::instant now);
 
 } // namespace Gateway
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -477,8 +477,7 @@
         attempt& current = *call.currentAttempt;
         Scheduling::recordEnd(state.scheduler, current.placement.endpoint, current.placement.id, placementEndOf(outcome), clockNow());
         Common::countMetric(fmt::format("filbertreel_attempts_total{{service=\"{}\",end=\"{}\"}}", call.service.value, nameOf(outcome)));
-        // Without paths a failure says nothing about the endpoint's version.
-        reportAttemptEvent(call, paths.areLost(call.service) ? attempt_report::event::Abandoned : versionEventOf(call, outcome, clockNow()));
+        reportAttemptEvent(call, versionEventOf(call, outcome, !paths.areLost(call.service), clockNow()));
         // The number of relays has a bound of its own.
         if (outcome == attempt_end::NotSent && call.currentAttempt->relayedTo)
             return;
