Limits and brittleness: numbers beyond all bounds from endpoints and peers change nothing

Found in the last reading of the diff: a Server-Brittle larger than an integer holds was converted to one, and a grant of four billion tokens would have been stored. Both have rows now.

--- a/Source/Core/EndpointLimits/SharedLimits.cpp
+++ b/Source/Core/EndpointLimits/SharedLimits.cpp
@@ -99,8 +99,9 @@
 
     void addTokens(token_pool& pool, const token_decision& decision, Common::instant now)
     {
-        pool.expiries.insert(pool.expiries.end(), decision.count, now + tokenLife);
-        pool.nextAsk = pool.askedAt + decision.askAgainIn;
+        const size_t room = maxTokensInHand - std::min<size_t>(maxTokensInHand, pool.expiries.size());
+        pool.expiries.insert(pool.expiries.end(), std::min<size_t>(decision.count, room), now + tokenLife);
+        pool.nextAsk = pool.askedAt + std::min(decision.askAgainIn, maxAskInterval);
     }
 
     bool takeAsk(shared_limits& state, Common::instant now)
--- a/Source/Core/EndpointLimits/SharedLimits.h
+++ b/Source/Core/EndpointLimits/SharedLimits.h
@@ -18,6 +18,8 @@
 
 /// A granted token is dropped when it wasn't used within this time.
 constexpr milliseconds tokenLife { 1000 };
+/// More tokens than this in one message, or in hand, are not believed.
+constexpr uint32_t maxTokensInHand = 10000;
 /// A node that has got no answer from an owner for this time asks the node ranked next as well.
 constexpr milliseconds ownerTimeout { 700 };
 constexpr milliseconds maxUnansweredInterval { 4000 };
--- a/Source/Core/EndpointLimits/Tests/SharedLimitsTest.cpp
+++ b/Source/Core/EndpointLimits/Tests/SharedLimitsTest.cpp
@@ -56,3 +56,16 @@
         failed += findFailure(plan);
     STRCMP_EQUAL("", failed.c_str());
 }
+
+TEST(SharedLimits, AGrantBeyondAllBoundsIsNotBelieved)
+{
+    shared_limits state;
+    state.self = { "n0" };
+    state.peers = { { "n1" }, { "n2" } };
+    const endpoint_start start { { "e" }, { 1 } };
+    stateLimit(state, start, 1, at(0));
+    recordMissedToken(state, start);
+    applyMessage(state, { "n1" }, token_grant { { start, 1, milliseconds(0) }, UINT32_MAX, milliseconds(UINT32_MAX) }, at(1));
+    CHECK_EQUAL(maxTokensInHand, state.pools.at(start).expiries.size());
+    CHECK_TRUE(timeToNextAsk(state, start, at(1)) <= maxAskInterval);
+}
--- a/Source/Core/Gateway/BrittleEndpoints.cpp
+++ b/Source/Core/Gateway/BrittleEndpoints.cpp
@@ -51,7 +51,8 @@
     const attempt& current = *call.currentAttempt;
     const std::optional<stated_limit>& stated = current.response.brittle;
     const bool canWithdraw = current.response.hasProofOfOrigin && !current.response.hasNotRun;
-    if ((!stated && !canWithdraw) || (stated && !stated->perSecond))
+    const bool isInvalid = stated && (!stated->perSecond || *stated->perSecond > EndpointLimits::maxPerSecond);
+    if ((!stated && !canWithdraw) || isInvalid)
         return;
     const std::optional<double> rejections = stated ? stated->perSecond : std::nullopt;
     if (Scheduling::declareBrittle(state.scheduler.declarations, current.placement.endpoint, current.placement.started, rejections, now))
--- a/Tests/Platform/BrittleEndpointsTest.cpp
+++ b/Tests/Platform/BrittleEndpointsTest.cpp
@@ -123,6 +123,7 @@
         { "one node", "/idem/x", { { brittleAnswer("4") } }, 4 },
         { "three nodes, streams", "/idem/x", { { brittleAnswer("2") } }, 2, 3 },
         { "an invalid number", "/idem/x", { { brittleAnswer("many") } }, 0 },
+        { "a number beyond all bounds", "/idem/x", { { brittleAnswer("1e300") } }, 0 },
         { "no longer brittle", "/idem/x", { { brittleAnswer("1") }, { completeAnswer } }, 0 },
     };
     for (const row& item : rows) {
