--- a/review/common/engines.py
+++ b/review/common/engines.py
@@ -9,13 +9,14 @@
 class Engine:
     """Behaves like a sound engine; a case overrides `run` to change how it works on a request."""
 
-    def __init__(self, world, name, service, zone, address, slots=6):
+    def __init__(self, world, name, service, zone, address, slots=6, version="v1"):
         self.world = world
         self.id = name
         self.service = service
         self.zone = zone
         self.address = address
         self.slots = slots
+        self.version = version
         self.running = 0
         self.arrivals = []  # (time, attempt id)
         self.ran = []  # (time, attempt id) of requests that it began to work on
@@ -23,16 +24,31 @@
         self.dropped = []  # attempt ids whose channel closed during the work
         self.born = int(time.time() * 1000)
         self._server = None
+        self._open = set()
 
     async def start(self):
-        self._server = await http1.serve(self.address, self._connection)
+        self._server = await http1.serve(self.address, self._tracked)
         self.register()
 
     def register(self, state="ready"):
         self.world.store.put("servers", self.id, {
-            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
+            "service": self.service, "address": self.address, "zone": self.zone, "version": self.version, "slots": self.slots,
             "state": state, "coldRemainingMs": 0, "sequence": 1, "born": self.born})
 
+    def stop(self):
+        """It ends at once: its entry is removed, and its channels are closed."""
+        self.world.store.remove("servers", self.id)
+        self._server.close()
+        for writer in list(self._open):
+            writer.transport.abort()
+
+    async def _tracked(self, reader, writer):
+        self._open.add(writer)
+        try:
+            await self._connection(reader, writer)
+        finally:
+            self._open.discard(writer)
+
     def head(self, request):
         return [
             ("X-Filbertreel-Attempt-Id", request.header("X-Filbertreel-Attempt-Id")),
--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -43,6 +43,11 @@
         row = self.rows.get((table, "", key))
         return None if row is None or row[2] else json.loads(row[0])
 
+    def set_down(self, is_down):
+        """While the store is down it answers 503 and has done nothing; waiting calls end as well."""
+        self.is_down = is_down
+        self._announce()
+
     # --- Restore from a copy
 
     def copy(self):
