--- a/Tests/Faults/Soak.cpp
+++ b/Tests/Faults/Soak.cpp
@@ -110,6 +110,7 @@
     app.add_option("--endpoints", options.world.endpoints);
     app.add_option("--callers", options.callers);
     app.add_option("--keep", options.logFolder, "Folder for the nodes' logs of a run with a breach");
+    app.add_option("--programs", options.world.programs, "Programs of each node's processes, in order of their starts, for upgrades")->delimiter(',');
     app.add_flag("--timed", options.isTimed, "Also check time limits; requires a machine with idle processor time");
     app.add_flag("--store-restores", options.restoresStore, "The store is at times restored from an older copy");
     app.add_flag("--planned-only", options.isPlannedOnly, "Only planned operations: no accepted request may be lost");
--- a/Tests/Faults/SoakWorld.cpp
+++ b/Tests/Faults/SoakWorld.cpp
@@ -22,7 +22,7 @@
         return static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
     }
 
-    std::unique_ptr<proxied_node> makeNode(soak_world& world, int number)
+    std::unique_ptr<proxied_node> makeNode(soak_world& world, int number, const std::vector<std::string>& programs)
     {
         auto proxied = std::make_unique<proxied_node>();
         proxied->number = number;
@@ -34,6 +34,7 @@
         surroundings.storeAddress = proxied->storeLink->address();
         surroundings.cloudAddress = proxied->cloudLink->address();
         surroundings.moreLines = settingsLines;
+        surroundings.programs = programs;
         proxied->node = std::make_unique<PlatformTests::running_node>(std::move(surroundings));
         proxied->callerLink = std::make_unique<loopback_proxy>(proxied->node->callers());
         return proxied;
@@ -50,7 +51,7 @@
         registerEndpoint(*this, *endpoints.back(), "ready");
     }
     for (int number = 1; number <= settings.nodes; ++number)
-        nodes.push_back(makeNode(*this, number));
+        nodes.push_back(makeNode(*this, number, settings.programs));
 }
 
 void registerEndpoint(soak_world& world, proxied_endpoint& proxied, const char* state)
--- a/Tests/Faults/SoakWorld.h
+++ b/Tests/Faults/SoakWorld.h
@@ -22,6 +22,7 @@
 struct world_settings {
     int nodes { 3 };
     int endpoints { 3 };
+    std::vector<std::string> programs {}; ///< Of each node's processes, in order of their starts; empty: the program of this build.
 };
 
 /// A node and the proxies on its links.
--- a/Tests/Platform/RunningNode.cpp
+++ b/Tests/Platform/RunningNode.cpp
@@ -2,6 +2,7 @@
 
 #include "Platform/ScriptedEndpoint.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -30,10 +31,18 @@
 {
     writeSettings(extraLines);
     m_earlierLogSize = log().size();
-    child = Harness::startProcess({ NODE_PROGRAM, "platform-node" }, { "FILBERTREEL_NODE_FILE=" + settingsPath() }, logPath());
+    child = Harness::startProcess({ nextProgram(), "platform-node" }, { "FILBERTREEL_NODE_FILE=" + settingsPath() }, logPath());
     m_isFirstStart = false;
 }
 
+std::string running_node::nextProgram()
+{
+    const std::vector<std::string>& programs = m_surroundings.programs;
+    if (programs.empty())
+        return NODE_PROGRAM;
+    return programs[std::min(m_starts++, programs.size() - 1)];
+}
+
 void running_node::writeSettings(const std::string& extraLines) const
 {
     std::ofstream file(settingsPath());
--- a/Tests/Platform/RunningNode.h
+++ b/Tests/Platform/RunningNode.h
@@ -18,6 +18,7 @@
     std::string storeAddress {};
     std::string cloudAddress {}; ///< Empty: the node runs no duties against the cloud.
     std::vector<std::string> moreLines {}; ///< Further lines of the settings file.
+    std::vector<std::string> programs {}; ///< One for each start, in order; the last one repeats. Empty: the program of this build.
 };
 
 class running_node {
@@ -54,6 +55,7 @@
 
 private:
     std::string settingsPath() const { return (m_folder / "boot.conf").string(); }
+    std::string nextProgram();
 
     node_surroundings m_surroundings;
     uint16_t m_callers;
@@ -62,6 +64,7 @@
     uint16_t m_metrics;
     std::filesystem::path m_folder;
     bool m_isFirstStart { true };
+    size_t m_starts { 0 };
     size_t m_earlierLogSize { 0 }; ///< Bytes logged by earlier processes.
 };
 
