Logs tell what a planned stop cuts, and how long the stop takes

request_cut names each request without a complete answer when the process ends, with the time since it was read and how far it had got. session_cut and session_timed_out name connections on which a request was being read or an answer written. duty_stopped tells how long after node_stopped each thread ended.

--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -39,6 +39,16 @@
         return texts;
     }
 
+    /// @return how far a request has got.
+    const char* stageOf(const proxied_call& call)
+    {
+        if (call.progress.hasHeadSent)
+            return "streaming";
+        if (!call.currentAttempt || !call.currentAttempt->channel)
+            return "unplaced";
+        return call.currentAttempt->headReceived ? "answer_begun" : "sent";
+    }
+
     /// Adds what tells which bytes an attempt's response was made of.
     void addResponseFields(nlohmann::json& fields, const proxied_call& call)
     {
@@ -117,6 +127,16 @@
     Common::logEvent(Common::log_level::Info, "request_ended", std::move(fields));
 }
 
+void logCut(const proxied_call& call, Common::instant now)
+{
+    nlohmann::json fields { { "request", call.facts.attemptId }, { "ms", std::llround(toMs(now - call.arrived)) }, { "stage", stageOf(call) }, { "sends", call.attemptCount } };
+    if (call.route)
+        fields["route"] = call.route->name.value;
+    if (call.currentAttempt)
+        fields["endpoint"] = call.currentAttempt->placement.endpoint.value;
+    Common::logEvent(Common::log_level::Warning, "request_cut", std::move(fields));
+}
+
 std::string writeRequest(const proxied_call& call, const std::vector<Http::header>& lines)
 {
     std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", call.request.method, call.request.target);
--- a/Source/Core/Gateway/CallLog.h
+++ b/Source/Core/Gateway/CallLog.h
@@ -25,6 +25,9 @@
 /// @param status HTTP status sent to the caller, or zero if no complete response was sent.
 void logEnd(const proxied_call& call, std::string_view outcome, int status, Common::instant now);
 
+/// Logs a request that is cut because the node's process ends: how long ago it was read, and how far it had got.
+void logCut(const proxied_call& call, Common::instant now);
+
 /// @param call a request.
 /// @param lines header lines of the attempt, without Content-Length.
 /// @return head and body of the HTTP request to the endpoint.
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/CallerSession.h"
 
+#include "Common/Log.h"
+
 #include <array>
 
 #include <boost/asio/buffer.hpp>
@@ -102,12 +104,26 @@
     return !m_isReading && !m_isResponding && !m_isWriting;
 }
 
+const char* caller_session::nameOfState() const
+{
+    if (m_isClosing || m_isClosed)
+        return "closing";
+    if (m_isReading)
+        return "reading";
+    if (m_isResponding)
+        return "unanswered";
+    return m_isWriting ? "writing" : "idle";
+}
+
 void caller_session::armTimer(std::chrono::milliseconds after)
 {
     m_timer.expires_after(after);
     m_timer.async_wait([self = shared_from_this()](const error_code& error) {
-        if (!error)
-            self->abort();
+        if (error)
+            return;
+        if (!self->isIdle() && !self->m_isClosed)
+            Common::logEvent(Common::log_level::Warning, "session_timed_out", { { "state", self->nameOfState() }, { "requests", self->m_requests }, { "buffered_bytes", self->m_buffer.size() } });
+        self->abort();
     });
 }
 
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -71,6 +71,8 @@
     void closeWhenIdle();
     /// @return whether no request is being read and no response is pending.
     bool isIdle() const;
+    /// @return what the session is doing, as log lines name it.
+    const char* nameOfState() const;
 
 private:
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -694,6 +694,17 @@
         return state.leavingSince.has_value();
     }
 
+    /// Logs what the end of the process cuts.
+    void logCuts() const
+    {
+        for (const auto& [session, call] : calls)
+            logCut(*call, clockNow());
+        for (const caller_session_pointer& session : sessions) {
+            if (!session->isIdle() && !calls.contains(session.get()))
+                Common::logEvent(Common::log_level::Warning, "session_cut", { { "state", session->nameOfState() } });
+        }
+    }
+
     // --- Reports to other duties
 
     void scheduleReport()
@@ -734,6 +745,7 @@
     m_implementation->open();
     m_implementation->scheduleReport();
     m_implementation->context.run();
+    m_implementation->logCuts();
 }
 
 void gateway_duty::stop()
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -87,7 +87,7 @@
     Gateway::gateway_duty gateway;
     Control::control_duty control;
     Membership::peer_duty peers;
-    std::vector<std::thread> threads;
+    std::vector<std::pair<std::string_view, std::thread>> threads; ///< By name.
     std::mutex nodesMutex;
     Fleet::node_map nodes; ///< As listed in the store. Guarded by nodesMutex.
     Membership::member_map members; ///< As seen by the peers. Guarded by nodesMutex.
@@ -290,7 +290,7 @@
     template <typename duty_type>
     void startThread(std::string_view name, duty_type& duty)
     {
-        threads.emplace_back([this, name, &duty] {
+        threads.emplace_back(name, [this, name, &duty] {
             try {
                 duty.run();
             } catch (const std::exception& error) {
@@ -360,8 +360,12 @@
     self.peers.stop();
     self.gateway.stop();
     self.directory.stop();
-    for (std::thread& thread : self.threads)
+    const Common::instant stopStart = std::chrono::steady_clock::now();
+    for (auto& [name, thread] : self.threads) {
         thread.join();
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - stopStart);
+        Common::logEvent(Common::log_level::Info, "duty_stopped", { { "duty", name }, { "ms", elapsed.count() } });
+    }
     self.threads.clear();
 }
 
