A leaving node has a defined end: nothing that it has read is cut or dropped

Callers saw connections closed without an answer in the last 100 ms before a leaving node's process ended, after their requests had been passed on; pipelined requests, and requests whose body was half sent, were read and dropped when a node left.

Cause: leave() took one moment without requests in progress for the end, slept 100 ms and stopped the threads whatever was taken meanwhile. Idle sessions were closed while a request might be unread, and a response with Connection: close dropped what the caller had sent already.

The gateway tells when it has ended, the store's answer tells that the node's row is removed; no sleep stands for either.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -359,7 +359,7 @@
 
     void handle(leave_finished&&)
     {
-        removeSelf(nodeRows);
+        removeSelf(nodeRows, outlets.ownRowRemoved);
     }
 
     void handle(leave_started&&)
--- a/Source/Core/Control/ControlDuty.h
+++ b/Source/Core/Control/ControlDuty.h
@@ -109,6 +109,8 @@
     std::function<void(const Common::node_id& node, uint64_t sequence)> confirmUsageCounts;
     std::function<void(const Rollout::broadcast_evidence&)> broadcastEvidence;
     std::function<void(const Rollout::broadcast_latch&)> broadcastLatch;
+    /// The store has answered the removal of this node's row; may be empty.
+    std::function<void()> ownRowRemoved {};
 };
 
 struct control_settings {
--- a/Source/Core/Control/NodeRows.cpp
+++ b/Source/Core/Control/NodeRows.cpp
@@ -53,12 +53,15 @@
     rows.nextRegistration = {};
 }
 
-void removeSelf(node_rows& rows)
+void removeSelf(node_rows& rows, std::function<void()> onAnswered)
 {
     rows.hasLeft = true;
     Store::transaction write;
     write.removals.push_back(nodeRowName(rows, rows.context.settings.self.node));
-    rows.context.commit(write, [](const Store::rows_answer&) {});
+    rows.context.commit(write, [onAnswered = std::move(onAnswered)](const Store::rows_answer&) {
+        if (onAnswered)
+            onAnswered();
+    });
 }
 
 void removeDeadNodes(node_rows& rows)
--- a/Source/Core/Control/NodeRows.h
+++ b/Source/Core/Control/NodeRows.h
@@ -32,7 +32,8 @@
 void markSelfLeaving(node_rows& rows);
 
 /// Removes this node's row. It is not registered again.
-void removeSelf(node_rows& rows);
+/// @param onAnswered called with the store's answer, whatever it is; may be empty.
+void removeSelf(node_rows& rows, std::function<void()> onAnswered);
 
 /// Removes the row of one dead node. Only the lease holder may call this. The row of a node that crashed would
 /// otherwise reserve its share of the allowances forever.
--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -44,6 +44,8 @@
 
     bool canFinishBeforeLeaving(const gateway_state& state, const proxied_call& call)
     {
+        if (state.leavingPhase != leaving_phase::Accepting)
+            return false;
         const Common::instant end = *state.leavingSince + std::chrono::duration_cast<milliseconds>(state.grace * finishShareOfGrace);
         double expected = toMs(assumedPlainDuration);
         if (call.facts.model)
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -118,15 +118,36 @@
 void caller_session::armTimer(std::chrono::milliseconds after)
 {
     m_timer.expires_after(after);
-    m_timer.async_wait([self = shared_from_this()](const error_code& error) {
-        if (error)
-            return;
-        if (!self->isIdle() && !self->m_isClosed)
-            Common::logEvent(Common::log_level::Warning, "session_timed_out", { { "state", self->nameOfState() }, { "requests", self->m_requests }, { "buffered_bytes", self->m_buffer.size() } });
-        self->abort();
+    m_timer.async_wait([self = shared_from_this(), arming = ++m_timerArmings](const error_code& error) {
+        if (!error && arming == self->m_timerArmings)
+            self->handleTimeout();
     });
 }
 
+void caller_session::disarmTimer()
+{
+    ++m_timerArmings;
+    m_timer.cancel();
+}
+
+void caller_session::handleTimeout()
+{
+    if (m_isClosed)
+        return;
+    // A request has arrived that the pending wait is about to report.
+    if (isIdle() && !m_isClosing && hasUnreadInput())
+        return;
+    if (!isIdle())
+        Common::logEvent(Common::log_level::Warning, "session_timed_out", { { "state", nameOfState() }, { "requests", m_requests }, { "buffered_bytes", m_buffer.size() } });
+    abort();
+}
+
+bool caller_session::hasUnreadInput() const
+{
+    error_code ignored;
+    return m_buffer.size() > 0 || m_socket.available(ignored) > 0;
+}
+
 void caller_session::awaitRequest()
 {
     if (m_isClosed || m_isClosing)
@@ -188,7 +209,7 @@
 
 void caller_session::deliverRequest()
 {
-    m_timer.cancel();
+    disarmTimer();
     auto& message = m_parser->get();
     m_isReading = false;
     m_isResponding = true;
@@ -235,6 +256,7 @@
 {
     m_isReading = false;
     m_isResponding = true;
+    m_mustClose = true;
     respond(status, { { "Content-Type", "application/json" } }, R"({"error":"malformed_request"})", true);
 }
 
@@ -242,7 +264,7 @@
 {
     if (m_isClosed || !m_isResponding)
         return;
-    m_mustClose = m_mustClose || closes;
+    m_mustClose = m_mustClose || (closes && !hasUnreadInput());
     std::string bytes = writeHead(status, headers, m_mustClose);
     if (hasBody(status))
         bytes += fmt::format("Content-Length: {}\r\n", body.size());
@@ -257,7 +279,7 @@
 {
     if (m_isClosed || !m_isResponding)
         return;
-    m_mustClose = m_mustClose || closes;
+    m_mustClose = m_mustClose || (closes && !hasUnreadInput());
     send(writeHead(status, headers, m_mustClose) + "Transfer-Encoding: chunked\r\n\r\n");
 }
 
@@ -323,9 +345,19 @@
 
 void caller_session::closeWhenIdle()
 {
-    m_mustClose = true;
-    if (isIdle() && !m_isClosed && !m_isClosing)
-        closeGracefully();
+    if (!isIdle() || m_isClosed || m_isClosing || hasUnreadInput())
+        return;
+    m_isClosing = true;
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    armTimer(lingerTimeout);
+    awaitCallersClose();
+}
+
+/// A request that crosses the close stays unread, so that its caller can tell from the reset that it wasn't taken.
+void caller_session::awaitCallersClose()
+{
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code&) { self->close(); });
 }
 
 void caller_session::closeGracefully()
@@ -368,7 +400,7 @@
     if (m_isClosed)
         return;
     m_isClosed = true;
-    m_timer.cancel();
+    disarmTimer();
     error_code ignored;
     // Nothing more can be sent to the caller, so an error of the close has no consequence.
     m_socket.close(ignored);
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -57,7 +57,7 @@
     /// Waits for the first request.
     void start();
     /// Sends a complete response.
-    /// @param closes whether the connection is closed after this response.
+    /// @param closes whether the connection is closed after this response, unless the caller has already sent more.
     void respond(int status, const std::vector<Http::header>& headers, const std::string& body, bool closes);
     /// Sends the head of a response whose length is not known yet, with chunked transfer coding.
     void beginStream(int status, const std::vector<Http::header>& headers, bool closes);
@@ -67,7 +67,7 @@
     void endStream();
     /// Closes the connection at once, so that the caller sees an unfinished response as incomplete.
     void abort();
-    /// Closes the connection now if it is idle, else after the response in progress.
+    /// Closes the connection if it is idle and nothing that the caller has sent is unread.
     void closeWhenIdle();
     /// @return whether no request is being read and no response is pending.
     bool isIdle() const;
@@ -88,14 +88,19 @@
     void send(std::string bytes);
     void writeNext();
     void finishResponse();
+    bool hasUnreadInput() const;
     void closeGracefully();
+    void awaitCallersClose();
     void drainUntilClosed();
     void close();
     void armTimer(std::chrono::milliseconds after);
+    void disarmTimer();
+    void handleTimeout();
 
     tcp::socket m_socket;
     const session_events& m_events;
     boost::asio::steady_timer m_timer;
+    uint64_t m_timerArmings { 0 }; ///< Tells a time limit that was replaced after its expiry was queued.
     boost::beast::flat_buffer m_buffer;
     std::optional<request_parser> m_parser;
     std::vector<Http::header> m_headers;
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -12,6 +12,7 @@
 #include "Gateway/ChannelPool.h"
 #include "Gateway/CrashWatch.h"
 #include "Gateway/EndpointDeclarations.h"
+#include "Gateway/Leaving.h"
 #include "Gateway/PathMonitor.h"
 #include "Gateway/Placement.h"
 #include "Gateway/Relay.h"
@@ -41,9 +42,6 @@
     constexpr milliseconds connectTimeout { 400 };
     /// With less time left than this, no further attempt is made.
     constexpr milliseconds minAttemptTime { 20 };
-    /// A leaving node still accepts short requests for this share of the grace period, because callers may use a
-    /// directory answer for up to three times its lifetime.
-    constexpr double acceptingShareOfGrace = 0.75;
     constexpr uint32_t leastUrgentLevel = 9;
     /// An attempt without a response for this time may have no path.
     constexpr milliseconds minSilence { 300 };
@@ -78,6 +76,12 @@
         return rejection.reason == notReadyReason || rejection.reason == leavingReason;
     }
 
+    void callIfSet(const std::function<void()>& outlet)
+    {
+        if (outlet)
+            outlet();
+    }
+
     std::string errorBody(std::string_view error)
     {
         return fmt::format("{{\"error\":\"{}\"}}", error);
@@ -91,7 +95,6 @@
     boost::asio::io_context context { 1 };
     tcp::acceptor acceptor { context };
     boost::asio::steady_timer reportTimer { context };
-    boost::asio::steady_timer leaveTimer { context };
     Common::ring<gateway_message> inbox { ringCapacity };
     std::vector<gateway_message> batch;
     session_events sessionEvents;
@@ -104,6 +107,7 @@
     gateway_state state;
     crash_watch crashes { context, state };
     path_monitor paths { context, state };
+    leaving_sequence leaving { context, state };
     std::vector<std::pair<caller_session*, call_id>> waitingForToken; ///< Oldest first; may contain requests that have ended.
 
     // --- Sessions
@@ -123,17 +127,35 @@
         acceptor.async_accept([this](const error_code& error, tcp::socket socket) {
             if (error == boost::asio::error::operation_aborted)
                 return;
-            if (!error) {
-                auto session = std::make_shared<caller_session>(std::move(socket), sessionEvents);
-                sessions.insert(session);
-                session->start();
-            } else {
+            if (!error)
+                startSession(std::move(socket));
+            else
                 Common::logEvent(Common::log_level::Warning, "accept_failed", { { "problem", error.message() } });
-            }
             accept();
         });
     }
 
+    void startSession(tcp::socket socket)
+    {
+        auto session = std::make_shared<caller_session>(std::move(socket), sessionEvents);
+        sessions.insert(session);
+        session->start();
+    }
+
+    /// Serves the connections that the system has accepted for this process, and then accepts no more.
+    void closeListener()
+    {
+        error_code error;
+        acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(context);
+            acceptor.accept(socket, error);
+            if (!error)
+                startSession(std::move(socket));
+        }
+        acceptor.close(error);
+    }
+
     void setSessionEvents()
     {
         sessionEvents.onRequest = [this](const caller_session_pointer& session, arrived_request&& request) { handleRequest(session, std::move(request)); };
@@ -678,15 +700,18 @@
         if (isLeaving())
             return;
         applyMessage(state, message, clockNow());
-        if (outlets.leaveStarted)
-            outlets.leaveStarted();
-        leaveTimer.expires_after(std::chrono::duration_cast<milliseconds>(state.grace * acceptingShareOfGrace));
-        leaveTimer.async_wait([this](const error_code& error) {
-            if (error)
-                return;
-            for (const caller_session_pointer& session : std::vector<caller_session_pointer>(sessions.begin(), sessions.end()))
-                session->closeWhenIdle();
-        });
+        callIfSet(outlets.leaveStarted);
+        leaving.start({ [this] { return remaining_work { calls.size(), sessions.size() }; },
+            [this] { callIfSet(outlets.stoppedAccepting); },
+            [this] { closeListener(); },
+            [this] { closeIdleSessions(); },
+            [this] { callIfSet(outlets.leaveEnded); } });
+    }
+
+    void closeIdleSessions()
+    {
+        for (const caller_session_pointer& session : std::vector<caller_session_pointer>(sessions.begin(), sessions.end()))
+            session->closeWhenIdle();
     }
 
     bool isLeaving() const
--- a/Source/Core/Gateway/GatewayDuty.h
+++ b/Source/Core/Gateway/GatewayDuty.h
@@ -19,6 +19,10 @@
     std::function<void(attempt_report&&)> reportAttempt; ///< Only for services with a rollout; may be empty.
     /// The node leaves, and every later response closes its connection; may be empty.
     std::function<void()> leaveStarted;
+    /// A leaving node takes no more requests; may be empty.
+    std::function<void()> stoppedAccepting {};
+    /// Nothing that a leaving node has read is unanswered, or its time is over; may be empty.
+    std::function<void()> leaveEnded {};
     /// Tells other nodes about fingerprints; may be empty.
     std::function<void(std::vector<Quarantine::outgoing_statement>&&)> sendQuarantineStatements;
     /// Writes to the store what is quarantined; may be empty.
--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -5,6 +5,7 @@
 
 #include "EndpointLimits/SharedLimits.h"
 #include "Fleet/NodeFacts.h"
+#include "Gateway/Leaving.h"
 #include "Gateway/Messages.h"
 #include "Limits/ServiceRetryBudget.h"
 #include "Quarantine/RequestQuarantine.h"
@@ -31,6 +32,7 @@
     std::map<Common::node_id, Common::instant> unusableRelays; ///< Until when each gets no relayed requests.
     interval_report interval; ///< Collected since the last report.
     std::optional<Common::instant> leavingSince;
+    leaving_phase leavingPhase { leaving_phase::Accepting }; ///< Meaningful once leavingSince is set.
 };
 
 /// @param facts the platform's description of this node.
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -15,6 +15,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
+#include <future>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -25,7 +26,6 @@
 
     using std::chrono::milliseconds;
 
-    constexpr milliseconds leavePollInterval { 50 };
     /// Time to live of address responses: short, so that callers soon stop connecting to a node that leaves.
     constexpr milliseconds addressTimeToLive { 1000 };
     /// A node that its peers consider dead is removed after this time; a node that only restarts is back sooner.
@@ -33,10 +33,9 @@
     /// How long a node that the store lists counts as reachable while the peers do not know it: nodes that start
     /// together discover each other within about a second.
     constexpr milliseconds newNodeGracePeriod { 3000 };
-    /// Share of the grace period after which a leaving node stops even if requests are still in progress.
-    constexpr double maxLeaveShareOfGrace = 0.93;
-    /// Share of the grace period for which a leaving node serves in any case, as callers may still use its address.
-    constexpr double minLeaveShareOfGrace = 0.75;
+    /// Share of the grace period after which a leaving node stops even if its gateway hasn't ended.
+    constexpr double maxLeaveShareOfGrace = 0.97;
+    constexpr milliseconds submitRetryInterval { 10 };
 
     Fleet::node_entry makeNodeEntry(const Fleet::node_facts& facts, Common::incarnation_number incarnation)
     {
@@ -96,6 +95,8 @@
     std::vector<Gateway::relay_peer> relayPeers; ///< As the gateway knows them. Guarded by nodesMutex.
     std::atomic<bool> isLeaving { false };
     std::atomic<bool> hasFailed { false };
+    std::promise<void> gatewayEnded; ///< Set once by the gateway's thread.
+    std::promise<void> rowRemoved; ///< Set once by the control duty's thread.
 
     explicit implementation(const Fleet::node_facts& nodeFacts)
         : facts(nodeFacts)
@@ -123,6 +124,11 @@
         // The readiness changes after the gateway has been told: a caller that sees it must not get a response that
         // keeps its connection open.
         outlets.leaveStarted = [this] { directory.setReady(false); };
+        outlets.stoppedAccepting = [this] {
+            if (!control.submit(Control::leave_finished {}))
+                Common::logEvent(Common::log_level::Warning, "message_dropped", { { "message", "leave_finished" }, { "duty", "control" } });
+        };
+        outlets.leaveEnded = [this] { gatewayEnded.set_value(); };
         outlets.endpointLeaving = [this](const Common::endpoint_id& id, Fleet::start_time started) {
             if (!control.submit(Control::endpoint_leaving_received { id, started, "response" }))
                 Common::logEvent(Common::log_level::Warning, "message_dropped", { { "message", "endpoint_leaving" }, { "duty", "control" } });
@@ -156,6 +162,7 @@
         };
         outlets.broadcastEvidence = [this](const Rollout::broadcast_evidence& evidence) { static_cast<void>(peers.submit(Membership::push_evidence { evidence })); };
         outlets.broadcastLatch = [this](const Rollout::broadcast_latch& latch) { static_cast<void>(peers.submit(Membership::push_bad_version { latch })); };
+        outlets.ownRowRemoved = [this] { rowRemoved.set_value(); };
         return outlets;
     }
 
@@ -337,20 +344,17 @@
     const milliseconds grace = self.facts.bounds.grace;
     Common::logEvent(Common::log_level::Info, "node_leaving", { { "grace_ms", grace.count() } });
     self.isLeaving = true;
-    if (!self.gateway.submit(Gateway::leave_started {})) {
-        Common::logEvent(Common::log_level::Warning, "message_dropped", { { "message", "leave_started" }, { "duty", "gateway" } });
+    const Common::instant end = leaveStart + std::chrono::duration_cast<milliseconds>(grace * maxLeaveShareOfGrace);
+    while (!self.gateway.submit(Gateway::leave_started {}) && std::chrono::steady_clock::now() < end) {
         self.directory.setReady(false);
+        std::this_thread::sleep_for(submitRetryInterval);
     }
     static_cast<void>(self.control.submit(Control::leave_started {}));
     static_cast<void>(self.peers.submit(Membership::leave_started {}));
-    const auto elapsedShare = [&] { return (std::chrono::steady_clock::now() - leaveStart) / std::chrono::duration<double>(grace); };
-    while (elapsedShare() < minLeaveShareOfGrace)
-        std::this_thread::sleep_for(leavePollInterval);
-    while (elapsedShare() < maxLeaveShareOfGrace && self.gateway.inFlight() > 0)
-        std::this_thread::sleep_for(leavePollInterval);
-    static_cast<void>(self.control.submit(Control::leave_finished {}));
-    std::this_thread::sleep_for(2 * leavePollInterval);
-    Common::logEvent(Common::log_level::Info, "node_left", { { "unfinished", self.gateway.inFlight() } });
+    self.gatewayEnded.get_future().wait_until(end);
+    self.rowRemoved.get_future().wait_until(end);
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - leaveStart);
+    Common::logEvent(Common::log_level::Info, "node_left", { { "unfinished", self.gateway.inFlight() }, { "ms", elapsed.count() } });
 }
 
 void platform_node::stop()
