Scheduler: what was learned of slow answers no longer refuses requests without end

Callers saw: after a sound endpoint had been silent for 1.2 s several times, all nodes refused its requests as too late until they were restarted. Cause: the corrections of predicted times (of the endpoint, of the service, and the regression of the prefill time) change only with the first events of placed requests. Once they refuse all requests, none is placed. Change: when a request would be refused by what was learned, would begin in time by the assumed speeds, and nothing of the service (or of the endpoint, if its own correction alone refuses) was observed for 1 s, it is placed as a trial. If its first event comes sooner than was learned, what was learned is dropped. At most one trial a second and endpoint.

--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -59,6 +59,8 @@
     constexpr double cacheShareOfMemory = 0.6;
     constexpr uint64_t assumedMemoryTokens = 300000;
     constexpr milliseconds minRetryAfter { 200 };
+    /// After this time without an observation, a request that would be refused by earlier ones is placed as a trial.
+    constexpr milliseconds trialInterval { 1000 };
 
     double toMs(Common::duration time)
     {
@@ -144,9 +146,8 @@
     }
 
     /// @return the time to the first event by the request's work and the endpoint's load, for an endpoint of usual speed.
-    double expectModelMs(const scheduler_state& state, const endpoint_state& endpoint, double uncachedTokens, Common::instant now)
+    double expectModelMs(const linear_fit& fit, const endpoint_state& endpoint, double uncachedTokens, Common::instant now)
     {
-        const linear_fit fit = fitPrefillTime(state, endpoint.facts.service);
         const double prefillMs = (endpoint.waitingTokens + uncachedTokens) * fit.msPerToken;
         const double batchMs = (static_cast<double>(endpoint.placed.size()) + countRequestsOfOtherNodes(endpoint, now)) * msPerConcurrentRequest;
         return fit.baseMs + prefillMs + batchMs;
@@ -154,12 +155,18 @@
 
     double expectMs(const scheduler_state& state, const endpoint_state& endpoint, const placement_request& request, double uncachedTokens, Common::instant now)
     {
-        return request.model ? expectModelMs(state, endpoint, uncachedTokens, now) : expectPlainMs(endpoint, now);
+        return request.model ? expectModelMs(fitPrefillTime(state, endpoint.facts.service), endpoint, uncachedTokens, now) : expectPlainMs(endpoint, now);
+    }
+
+    /// @return the time to the first event without anything learned from observed times.
+    double assumeMs(const endpoint_state& endpoint, const placement_request& request, double uncachedTokens, Common::instant now)
+    {
+        return request.model ? expectModelMs(linear_fit {}, endpoint, uncachedTokens, now) : expectPlainMs(endpoint, now);
     }
 
     double predictModelMs(const scheduler_state& state, const endpoint_state& endpoint, double uncachedTokens, Common::instant now)
     {
-        return expectModelMs(state, endpoint, uncachedTokens, now) * endpoint.latencyFactor * serviceLatencyFactorOf(state, endpoint.facts.service);
+        return expectModelMs(fitPrefillTime(state, endpoint.facts.service), endpoint, uncachedTokens, now) * endpoint.latencyFactor * serviceLatencyFactorOf(state, endpoint.facts.service);
     }
 
     double predictPlainMs(const endpoint_state& endpoint, Common::instant now)
@@ -204,6 +211,7 @@
         double predicted { 0 };
         double expected { 0 };
         double score { 0 };
+        double learned { 0 }; ///< Of a trial: the prediction that would refuse it.
     };
 
     /// An endpoint that takes no more requests now.
@@ -234,6 +242,40 @@
         return best;
     }
 
+    /// @return whether what refuses the request at the endpoint was learned too long ago.
+    bool isTrialDue(const scheduler_state& state, const candidate& tried, double leftMs, Common::instant now)
+    {
+        const endpoint_state& endpoint = *tried.endpoint;
+        const auto service = state.learnedAt.find(endpoint.facts.service);
+        if (service == state.learnedAt.end() || now - service->second >= trialInterval)
+            return true;
+        const bool isRefusedByOwnFactor = tried.learned <= leftMs * endpoint.latencyFactor;
+        return isRefusedByOwnFactor && now - endpoint.learnedAt >= trialInterval;
+    }
+
+    /// @return the endpoint that would be the fastest without anything learned, among those where a trial is due and the
+    /// request would then begin in time.
+    candidate findTrial(scheduler_state& state, const placement_request& request, const placement_limits& limits, double leftMs, Common::instant now)
+    {
+        candidate best;
+        for (auto& [id, endpoint] : state.endpoints) {
+            const bool isOpen = isEligible(state, endpoint, request, limits) && now >= backoffEndOf(state, endpoint.facts) && now >= endpoint.ejectedUntil;
+            if (!isOpen || limits.limited.contains(id))
+                continue;
+            candidate next { &endpoint };
+            next.uncachedTokens = request.model ? countUncachedTokens(endpoint, *request.model) : 0;
+            next.learned = predictMs(state, endpoint, request, next.uncachedTokens, now);
+            next.predicted = assumeMs(endpoint, request, next.uncachedTokens, now);
+            if (next.predicted > leftMs || next.learned <= leftMs || !isTrialDue(state, next, leftMs, now))
+                continue;
+            if (!best.endpoint || next.predicted < best.predicted)
+                best = next;
+        }
+        if (best.endpoint)
+            best.endpoint->learnedAt = state.learnedAt[request.service] = now;
+        return best;
+    }
+
     refusal refuseWithoutEndpoint(const scheduler_state& state, const Common::service_name& service, Common::instant now)
     {
         const milliseconds left = backoffLeft(state, service, now);
@@ -260,6 +302,7 @@
         placed.uncachedTokens = chosen.uncachedTokens;
         placed.sent = now;
         placed.predictedMs = chosen.predicted;
+        placed.learnedMs = chosen.learned;
         placed.serviceLatencyFactor = request.model ? serviceLatencyFactorOf(state, request.service) : 1;
         placed.tokensAhead = chosen.endpoint->waitingTokens + chosen.uncachedTokens;
         if (request.model) {
@@ -282,9 +325,18 @@
         factor = std::clamp(factor * (1 - rate) + factor * ratio * rate, minLatencyFactor, maxFactor);
     }
 
+    /// Drops what the service's and the endpoint's predictions have learned.
+    void forgetLearned(scheduler_state& state, endpoint_state& endpoint)
+    {
+        endpoint.latencyFactor = 1;
+        state.serviceLatencyFactors.erase(endpoint.facts.service);
+        state.prefillRegressions.erase(endpoint.facts.service);
+    }
+
     /// @param actualMs time to the first event, or the time waited without one if it already exceeds the prediction.
-    void updateLatencyFactors(scheduler_state& state, endpoint_state& endpoint, const placed_work& placed, double actualMs)
+    void updateLatencyFactors(scheduler_state& state, endpoint_state& endpoint, const placed_work& placed, double actualMs, Common::instant now)
     {
+        endpoint.learnedAt = state.learnedAt[endpoint.facts.service] = now;
         const double ratio = std::clamp(actualMs / std::max(1.0, placed.predictedMs), minLatencyFactor, maxLatencyFactor);
         updateFactor(endpoint.latencyFactor, ratio, endpointFactorRate, maxLatencyFactor);
         if (placed.tokensAhead <= 0)
@@ -351,8 +403,11 @@
         return tl::unexpected(refusal { refusal_reason::Limited, minRetryAfter, selectBetter(limited, std::numeric_limits<double>::infinity()) });
     if (!best.endpoint)
         return tl::unexpected(refuseWithoutEndpoint(state, request.service, now));
-    best.expected = expectMs(state, *best.endpoint, request, best.uncachedTokens, now);
     const double left = toMs(request.deadline - now);
+    const candidate trial = best.predicted > left ? findTrial(state, request, limits, left, now) : candidate {};
+    if (trial.endpoint)
+        best = trial;
+    best.expected = expectMs(state, *best.endpoint, request, best.uncachedTokens, now);
     if (best.predicted > left) {
         const auto excess = milliseconds(static_cast<int64_t>(best.predicted - left));
         return tl::unexpected(refusal { refusal_reason::TooLate, std::max(minRetryAfter, excess), selectBetter(limited, best.score) });
@@ -371,7 +426,9 @@
     if (placed == found->placed.end() || placed->second.hasBegun)
         return;
     const double actualMs = toMs(now - placed->second.sent);
-    updateLatencyFactors(state, *found, placed->second, actualMs);
+    if (actualMs < placed->second.learnedMs)
+        forgetLearned(state, *found);
+    updateLatencyFactors(state, *found, placed->second, actualMs, now);
     if (placed->second.uncachedTokens > 0)
         addPrefillSample(state.prefillRegressions[found->facts.service], placed->second.tokensAhead, actualMs, actualMs / placed->second.serviceLatencyFactor);
     stopWaiting(*found, placed->second);
@@ -387,7 +444,7 @@
         return;
     const double waitedMs = toMs(now - placed->second.sent);
     if (!placed->second.hasBegun && end == placement_end::Abandoned && waitedMs > placed->second.predictedMs)
-        updateLatencyFactors(state, *found, placed->second, waitedMs);
+        updateLatencyFactors(state, *found, placed->second, waitedMs, now);
     stopWaiting(*found, placed->second);
     found->placed.erase(placed);
     switch (end) {
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -30,6 +30,7 @@
     double predictedMs { 0 }; ///< Predicted time to the first event.
     double serviceLatencyFactor { 1 }; ///< The factor that predictedMs was computed with.
     double tokensAhead { 0 }; ///< Prompt tokens to process before its first event, its own included.
+    double learnedMs { 0 }; ///< Of a trial: the prediction by which it would have been refused; otherwise zero.
     bool hasBegun { false }; ///< Its first event or answer has arrived.
 };
 
@@ -41,6 +42,7 @@
     std::optional<reported_load> reported; ///< Last load reported by the endpoint.
     Common::instant reportedAt;
     double latencyFactor { 1 }; ///< Correction of predicted times, adapted to the observed ones.
+    Common::instant learnedAt; ///< When the correction was last adapted, or a trial began.
     prompt_cache cache;
     uint32_t consecutiveFailures { 0 };
     uint32_t consecutiveUnreachable { 0 }; ///< Attempts that got no connection.
@@ -74,6 +76,8 @@
     /// Recent correction of predicted times over all endpoints of a service. It captures load caused by other nodes: a
     /// single node uses each endpoint too rarely to measure that per endpoint.
     std::map<Common::service_name, double> serviceLatencyFactors;
+    /// When a first event of the service was last observed, or a trial began.
+    std::map<Common::service_name, Common::instant> learnedAt;
     Common::random_source random { 1 };
     placement_id lastPlacement;
 };
@@ -118,7 +122,8 @@
 /// Removes an endpoint and all that was recorded about it.
 void removeEndpoint(scheduler_state& state, const Common::endpoint_id& id);
 
-/// Chooses the endpoint with the lowest predicted time, distance penalty included.
+/// Chooses the endpoint with the lowest predicted time, distance penalty included. If corrections by observed times refuse
+/// the request, and nothing was observed for a while, the request is placed as a trial of them.
 /// @param state the endpoints; the placement is recorded in it.
 /// @param request the request to place.
 /// @param limits constraints on the choice.
