Gateway: callers that read slowly are no longer cut

Callers saw: streams of sound callers with a small receive buffer, which pause for up to a second, ended after 4 to 6 s. Cause: TCP_USER_TIMEOUT also counts while the receive window stays smaller than the next segment, although the caller's system answers each probe. Change: callers' sockets have none. While a caller has something to receive, the session reads TCP_INFO: a caller has vanished when bytes or a probe were unanswered for the detection time. Endpoints' sockets keep the option. Not done: sockets of the store and the cloud (Http/Client.cpp, Http/Server.cpp) still have only their own time limits; the detection on endpoints' and peers' sockets has no test of its own.

--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -36,6 +36,7 @@
     constexpr std::chrono::milliseconds lingerTimeout { 1000 };
     /// Added to the idle timeout: a caller may reuse a connection just before the timeout, and that request must arrive.
     constexpr std::chrono::milliseconds idleSlack { 5000 };
+    constexpr std::chrono::milliseconds progressInterval { 250 };
 
     std::string writeHead(int status, const std::vector<Http::header>& headers, bool closes)
     {
@@ -90,6 +91,7 @@
     : m_socket(std::move(socket))
     , m_events(events)
     , m_timer(m_socket.get_executor())
+    , m_progressTimer(m_socket.get_executor())
 {
 }
 
@@ -317,6 +319,29 @@
     m_outbox.push_back(std::move(bytes));
     if (!m_isWriting)
         writeNext();
+    if (!m_isProgressWatched)
+        watchProgress();
+}
+
+void caller_session::watchProgress()
+{
+    m_isProgressWatched = true;
+    m_progressTimer.expires_after(progressInterval);
+    m_progressTimer.async_wait([self = shared_from_this()](const error_code& error) {
+        if (!error && !self->m_isClosed)
+            self->checkProgress();
+    });
+}
+
+void caller_session::checkProgress()
+{
+    const std::optional<connection_facts> facts = readFacts(m_socket);
+    m_isProgressWatched = facts && (facts->isAwaitingReply || m_isResponding || m_isWriting);
+    if (!m_isProgressWatched)
+        return;
+    if (hasVanished(m_progress, *facts, std::chrono::steady_clock::now()))
+        return abort();
+    watchProgress();
 }
 
 void caller_session::writeNext()
@@ -401,6 +426,7 @@
         return;
     m_isClosed = true;
     disarmTimer();
+    m_progressTimer.cancel();
     error_code ignored;
     // Nothing more can be sent to the caller, so an error of the close has no consequence.
     m_socket.close(ignored);
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -8,6 +8,7 @@
 /// must be rejected.
 
 #include "Catalog/Catalog.h"
+#include "Gateway/PeerProgress.h"
 #include "Http/Server.h"
 
 #include <deque>
@@ -87,6 +88,9 @@
     void watchForClose();
     void send(std::string bytes);
     void writeNext();
+    /// While the caller has something to receive, checks that it hasn't vanished.
+    void watchProgress();
+    void checkProgress();
     void finishResponse();
     bool hasUnreadInput() const;
     void closeGracefully();
@@ -101,6 +105,8 @@
     const session_events& m_events;
     boost::asio::steady_timer m_timer;
     uint64_t m_timerArmings { 0 }; ///< Tells a time limit that was replaced after its expiry was queued.
+    boost::asio::steady_timer m_progressTimer;
+    peer_progress m_progress;
     boost::beast::flat_buffer m_buffer;
     std::optional<request_parser> m_parser;
     std::vector<Http::header> m_headers;
@@ -108,6 +114,7 @@
     size_t m_outboxBytes { 0 };
     uint64_t m_requests { 0 };
     bool m_isWriting { false };
+    bool m_isProgressWatched { false };
     bool m_isResponding { false };
     bool m_isReading { false };
     bool m_isHeadRequest { false };
--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -128,6 +128,7 @@
         self->m_isConnected = true;
         self->m_connectTime = std::chrono::steady_clock::now() - self->m_connectStarted;
         setSocketOptions(self->m_socket);
+        limitUnacknowledgedTime(self->m_socket);
         self->write();
     });
 }
--- a/Source/Core/Gateway/SocketOptions.h
+++ b/Source/Core/Gateway/SocketOptions.h
@@ -7,7 +7,12 @@
 
 namespace Gateway {
 
-/// Disables Nagle's algorithm and limits how long a peer that became unreachable without a reset goes undetected.
+/// Disables Nagle's algorithm and limits how long a peer that became unreachable without a reset goes undetected while the
+/// connection is idle.
 void setSocketOptions(boost::asio::ip::tcp::socket& socket);
 
+/// Limits how long such a peer goes undetected while sent bytes are unacknowledged. Also ends the connection of a peer whose
+/// receive window stays too small for the next segment, however it answers.
+void limitUnacknowledgedTime(boost::asio::ip::tcp::socket& socket);
+
 } // namespace Gateway
--- a/Source/Core/Membership/PeerSockets.cpp
+++ b/Source/Core/Membership/PeerSockets.cpp
@@ -1,5 +1,6 @@
 #include "Membership/PeerSockets.h"
 
+#include "Common/DetectionTime.h"
 #include "Common/Metrics.h"
 
 namespace Membership {
@@ -8,9 +9,6 @@
 
     constexpr int maxQueuedMessagesPerPeer = 256;
     constexpr std::chrono::seconds idleSocketTimeout { 30 };
-    // A connection that fails without a TCP reset is detected by missing heartbeats and replaced after the timeout.
-    constexpr int heartbeatMilliseconds = 1000;
-    constexpr int heartbeatTimeoutMilliseconds = 2500;
 
 } // namespace
 
@@ -22,8 +20,9 @@
     zmq::socket_t socket(m_context, zmq::socket_type::push);
     socket.set(zmq::sockopt::linger, 0);
     socket.set(zmq::sockopt::sndhwm, maxQueuedMessagesPerPeer);
-    socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMilliseconds);
-    socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMilliseconds);
+    // A connection that fails without a TCP reset is detected by missing heartbeats and replaced after the timeout.
+    socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(std::chrono::milliseconds(Common::probeInterval).count()));
+    socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(Common::heartbeatTimeout.count()));
     socket.connect("tcp://" + address);
     return m_sockets.emplace(address, open_socket { std::move(socket), {} }).first->second;
 }
