A leaving node predicts from what it knows whether it can finish a request

canFinishBeforeLeaving() assumed 150 ms for plain requests, and 600 ms to the first event and 20 ms a token for streams, whatever the load. Now a request is expected to take what requests of its route took (FinishTimes: high estimates of the whole time, the time to the first event and the time for each output token; the former figures until something was observed), or what the scheduler predicts at the endpoints that this node could use now, if that is longer. What can't be finished is refused at once, as before.

Admission.ALeavingNodeGoesByTheTimesItHasObserved: seven rows, green; not run on the code before, which has no observations.

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -17,10 +17,6 @@
     constexpr double finishShareOfGrace = 0.85;
     /// A leaving node admits a request only if its expected duration is below this share of the time left.
     constexpr double maxExpectedShareOfTimeLeft = 0.4;
-    /// Expected durations of a plain request, of a model request up to its first event, and of each output token.
-    constexpr milliseconds assumedPlainDuration { 150 };
-    constexpr milliseconds assumedTimeToFirstEvent { 600 };
-    constexpr double assumedMsPerOutputToken = 20;
 
     std::string_view pathOf(std::string_view target)
     {
@@ -47,9 +43,8 @@
         if (state.leavingPhase != leaving_phase::Accepting)
             return false;
         const Common::instant end = *state.leavingSince + std::chrono::duration_cast<milliseconds>(state.grace * finishShareOfGrace);
-        double expected = toMs(assumedPlainDuration);
-        if (call.facts.model)
-            expected = toMs(assumedTimeToFirstEvent) + call.facts.model->expectedOutputTokens.value_or(call.facts.model->maxOutputTokens) * assumedMsPerOutputToken;
+        const double predicted = Scheduling::predictFirstEventMs(state.scheduler, { call.service, call.facts.model, call.arrived, call.deadline }, call.arrived);
+        const double expected = expectFinishMs(state.finishTimes, call.route->name, call.facts.model, predicted);
         return expected < toMs(end - call.arrived) * maxExpectedShareOfTimeLeft;
     }
 
@@ -101,10 +96,10 @@
         return request_rejection { 404, "unknown_route", {} };
     if (!authorize(call))
         return request_rejection { 401, "unknown_key", {} };
-    if (state.leavingSince && !canFinishBeforeLeaving(state, call))
-        return request_rejection { 503, leavingReason, retryAfterLeaving };
     setDeadlineAndRetryLimits(call);
     call.service = Catalog::chooseService(*call.route, Common::uniformUnit(state.scheduler.random));
+    if (state.leavingSince && !canFinishBeforeLeaving(state, call))
+        return request_rejection { 503, leavingReason, retryAfterLeaving };
     call.fingerprints = Quarantine::fingerprintsOf({ call.service, call.account, call.request.method, call.request.target, call.request.body }, call.facts.model ? &*call.facts.model : nullptr);
     const Quarantine::quarantine_verdict verdict = Quarantine::judgeRequest(state.quarantine, call.fingerprints, call.arrived);
     if (verdict.refusedFor)
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -464,6 +464,8 @@
             recordStart(call);
         recordAttemptEnd(call, outcome);
         watchAttemptEnd(call, result.end, outcome);
+        if (outcome == attempt_end::Answered && isSuccess(current.status) && current.headReceived)
+            recordFinish(state.finishTimes, call.route->name, call.facts.model, toMs(*current.headReceived - call.arrived), toMs(clockNow() - call.arrived));
         performStep(call, outcome, decideWithinRetryBudget(call, outcome));
     }
 
--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -5,6 +5,7 @@
 
 #include "EndpointLimits/SharedLimits.h"
 #include "Fleet/NodeFacts.h"
+#include "Gateway/FinishTimes.h"
 #include "Gateway/Leaving.h"
 #include "Gateway/Messages.h"
 #include "Limits/ServiceRetryBudget.h"
@@ -30,6 +31,7 @@
     std::map<Common::service_name, version_share_update> versionShares;
     std::vector<relay_peer> relayPeers;
     std::map<Common::node_id, Common::instant> unusableRelays; ///< Until when each gets no relayed requests.
+    finish_time_map finishTimes;
     interval_report interval; ///< Collected since the last report.
     std::optional<Common::instant> leavingSince;
     leaving_phase leavingPhase { leaving_phase::Accepting }; ///< Meaningful once leavingSince is set.
--- a/Source/Core/Gateway/Tests/AdmissionTest.cpp
+++ b/Source/Core/Gateway/Tests/AdmissionTest.cpp
@@ -130,6 +130,38 @@
     DOUBLES_EQUAL(70, counted.allowanceTaken, 0.1);
 }
 
+TEST(Admission, ALeavingNodeGoesByTheTimesItHasObserved)
+{
+    struct row {
+        const char* name;
+        std::optional<Scheduling::model_request> model;
+        double firstEventMs; ///< Observed.
+        double totalMs;
+        int observations;
+        int arrivedMs; ///< Time since the node began to leave.
+        int status;
+    };
+    const row rows[] = {
+        { "plain, quick", {}, 20, 20, 200, 5000, 0 },
+        { "plain, slow", {}, 1500, 1500, 20, 5000, 503 },
+        { "plain, slow, early", {}, 1500, 1500, 20, 1000, 0 },
+        { "stream, first event late", makeModel(100, 20), 2500, 2900, 20, 3000, 503 },
+        { "long stream, quick tokens", makeModel(100, 500), 100, 2100, 300, 0, 0 },
+        { "long stream, slow tokens", makeModel(100, 500), 100, 8000, 20, 0, 503 },
+        { "short stream, slow", makeModel(100, 2), 100, 2900, 20, 3000, 503 },
+    };
+    for (const row& item : rows) {
+        gateway_state state = makeState();
+        for (int observed = 0; observed < item.observations; ++observed)
+            recordFinish(state.finishTimes, { "/open/" }, item.model, item.firstEventMs, item.totalMs);
+        applyMessage(state, leave_started {}, at(0));
+        proxied_call call = makeCall("/open/x", "", item.arrivedMs);
+        call.facts.model = item.model;
+        const auto refusal = admit(state, call);
+        CHECK_EQUAL_TEXT(item.status, refusal ? refusal->status : 0, item.name);
+    }
+}
+
 TEST(Admission, ALeavingNodeAdmitsOnlyRequestsItCanFinish)
 {
     struct row {
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -417,6 +417,19 @@
     return placed;
 }
 
+double predictFirstEventMs(const scheduler_state& state, const placement_request& request, Common::instant now)
+{
+    std::optional<double> lowest;
+    for (const auto& [id, endpoint] : state.endpoints) {
+        if (!isEligible(state, endpoint, request, {}) || now < backoffEndOf(state, endpoint.facts) || now < endpoint.ejectedUntil)
+            continue;
+        const double uncachedTokens = request.model ? countUncachedTokens(endpoint, *request.model) : 0;
+        const double predicted = predictMs(state, endpoint, request, uncachedTokens, now);
+        lowest = std::min(predicted, lowest.value_or(predicted));
+    }
+    return lowest.value_or(0);
+}
+
 void recordFirstEvent(scheduler_state& state, const Common::endpoint_id& endpoint, placement_id id, Common::instant now)
 {
     endpoint_state* found = find(state, endpoint);
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -131,6 +131,12 @@
 /// @return the placement, or why the request can't be served in time.
 tl::expected<placement, refusal> place(scheduler_state& state, const placement_request& request, const placement_limits& limits, Common::instant now);
 
+/// @param state the endpoints.
+/// @param request a request that isn't placed yet.
+/// @param now current time.
+/// @return the lowest predicted time to its first event, in milliseconds; zero without a usable endpoint.
+double predictFirstEventMs(const scheduler_state& state, const placement_request& request, Common::instant now);
+
 /// Records that the first event or the answer of a placed request arrived.
 void recordFirstEvent(scheduler_state& state, const Common::endpoint_id& endpoint, placement_id id, Common::instant now);
 
