Quota: log what a node believes of accounts at their limits, and refunds

Only refusals stated what a node believed, so that nobody could tell why it had granted.

Change: `account_limited` once per report interval for each account that is refused or overdrawn (level, granted, asked, share, peers known and silent, overdraft); nothing for others. `request_ended` says what was refunded and how many endpoints may have run the request. The refund has one place, Gateway/Allowance.

--- a/Source/Core/Gateway/CallLog.cpp
+++ b/Source/Core/Gateway/CallLog.cpp
@@ -107,6 +107,10 @@
         fields["allowance_share"] = call.refusedGrant->share;
         fields["allowance_per_s"] = std::llround(Catalog::findAccount(*call.catalog, call.facts.key)->allowed.perSecond);
     }
+    if (call.allowanceRefunded > 0) {
+        fields["allowance_refunded"] = std::llround(call.allowanceRefunded);
+        fields["endpoints_run"] = call.progress.endpointsRun;
+    }
     if (call.facts.timeBudget)
         fields["budget_ms"] = call.facts.timeBudget->count();
     if (call.firstByteMs > 0)
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -5,6 +5,7 @@
 #include "Common/Ring.h"
 #include "Common/Text.h"
 #include "Gateway/Admission.h"
+#include "Gateway/Allowance.h"
 #include "Gateway/AttemptOutcome.h"
 #include "Gateway/BrittleEndpoints.h"
 #include "Gateway/Call.h"
@@ -248,8 +249,7 @@
     void startRelay(proxied_call& call, const relay_peer& peer)
     {
         // The other node charges the account.
-        if (call.allowanceTaken > 0)
-            Quota::refund(state.quota, call.account, std::exchange(call.allowanceTaken, 0));
+        refundAllowance(state, call);
         attempt& current = beginAttempt(call, peer.address);
         current.relayedTo = peer.node;
         call.triedRelays.insert(peer.node);
@@ -261,8 +261,7 @@
     void refuseWithoutPath(proxied_call& call)
     {
         constexpr std::string_view reason = "no_path";
-        if (call.allowanceTaken > 0)
-            Quota::refund(state.quota, call.account, call.allowanceTaken);
+        refundAllowance(state, call);
         call.session->respond(503, settings.wire.writeNoPathResponse(call.facts), errorBody(reason), isLeaving());
         finish(call, reason, 503);
     }
@@ -570,8 +569,7 @@
         // Another node can relay the request instead.
         if (call.facts.relayedEndpoints && call.attemptCount == 0 && isOfNodeItself(rejection))
             return refuseWithoutPath(call);
-        if (call.allowanceTaken > 0)
-            Quota::refund(state.quota, call.account, call.allowanceTaken);
+        refundAllowance(state, call);
         Common::countMetric(fmt::format("filbertreel_refusals_total{{reason=\"{}\"}}", rejection.reason));
         std::optional<milliseconds> retryAfter = rejection.retryAfter;
         if (retryAfter && call.facts.timeBudget && !rejection.isRetryTimeExact)
@@ -749,6 +747,7 @@
                 return;
             Quarantine::refresh(state.quarantine, clockNow());
             crashes.flush();
+            logLimitedAccounts(state, clockNow());
             outlets.report(collectReport(state, settings.facts, settings.incarnation, calls.size(), clockNow()));
             scheduleReport();
         });
--- a/Source/Core/Quota/Quota.cpp
+++ b/Source/Core/Quota/Quota.cpp
@@ -115,8 +115,10 @@
     account_bucket& bucket = found->second;
     refill(state, bucket, now);
     bucket.askedSinceReport += amount;
-    if (!isWithinAllowance(state, bucket, amount))
+    if (!isWithinAllowance(state, bucket, amount)) {
+        bucket.hasRefused = true;
         return { false, refillDelay(bucket, amount), bucket.level, ownShare(state, bucket) };
+    }
     bucket.level -= amount;
     bucket.granted += amount;
     bucket.grantedSinceReport += amount;
@@ -134,6 +136,17 @@
     bucket.grantedSinceReport = std::max(0.0, bucket.grantedSinceReport - amount);
 }
 
+std::vector<limited_account> describeLimited(const quota_state& state, Common::instant now)
+{
+    std::vector<limited_account> found;
+    for (const auto& [id, bucket] : state.accounts) {
+        const bool isOverdrawn = bucket.level < 0 && bucket.askedSinceReport > 0;
+        if (bucket.hasRefused || isOverdrawn)
+            found.push_back({ id, bucket.level, bucket.grantedSinceReport, bucket.askedSinceReport, ownShare(state, bucket), state.peers.size(), countSilentPeers(state, now) });
+    }
+    return found;
+}
+
 node_report makeReport(quota_state& state, Common::instant now)
 {
     const double seconds = std::max(0.001, toSeconds(now - state.reportedAt));
@@ -143,6 +156,7 @@
         const double demand = bucket.askedSinceReport / seconds;
         bucket.demandPerSecond += (demand - bucket.demandPerSecond) * demandWeight;
         bucket.askedSinceReport = 0;
+        bucket.hasRefused = false;
         bucket.grantedSinceReport = 0;
         report.accounts.push_back({ id, bucket.granted, bucket.demandPerSecond });
     }
--- a/Source/Core/Quota/Quota.h
+++ b/Source/Core/Quota/Quota.h
@@ -44,6 +44,7 @@
     double grantedSinceReport { 0 }; ///< By this node since its last report.
     double demandPerSecond { 0 };
     double askedSinceReport { 0 }; ///< Requested from this node since its last report, granted or not.
+    bool hasRefused { false }; ///< A request since this node's last report.
     std::map<Common::node_id, peer_grants> peers;
 };
 
@@ -87,6 +88,20 @@
 /// @param amount in the unit of the account's allowance.
 void refund(quota_state& state, const Common::account_id& account, double amount);
 
+/// What this node believes of an account that is at its limit, for the log.
+struct limited_account {
+    Common::account_id account;
+    double level { 0 };
+    double granted { 0 }; ///< By this node since its last report.
+    double asked { 0 }; ///< From this node since its last report.
+    double share { 1 }; ///< The part of the level that this node may grant.
+    size_t peersKnown { 0 };
+    size_t peersSilent { 0 };
+};
+
+/// @return the accounts of which a request was refused since the last report, or whose bucket is overdrawn while they ask.
+std::vector<limited_account> describeLimited(const quota_state& state, Common::instant now);
+
 /// Makes the periodic report to the other nodes and updates the demand averages.
 /// @param state the buckets; a new report interval starts.
 /// @param now the current time.
