Gateway: a request runs charged after a relay that was not sent, and isn't refunded after a run

Cause: startRelay() refunds the allowance since the other node charges. If the relay isn't sent and the request is placed here, nobody charged it. A refused request was refunded also when an endpoint may have run it; recall() takes requests from endpoints at which they may be running.

Change: such a request is charged when it is placed here, and rejected with 429 if the allowance is used up; one that the other node may have run isn't charged twice. No refund once an endpoint may have run the request; a recalled one counts so.

Red, before the change (AllowanceTest): 2 other requests granted where 1 is left; not rejected with nothing left; 2 where 1 is left after a run.

--- a/Source/Core/Gateway/Allowance.cpp
+++ b/Source/Core/Gateway/Allowance.cpp
@@ -55,9 +55,27 @@
     return applyGrant(call, grant, amount);
 }
 
+void leaveChargeToRelay(gateway_state& state, proxied_call& call)
+{
+    call.isChargeLeftToRelay = true;
+    refundAllowance(state, call);
+}
+
+std::optional<request_rejection> chargeAfterRelay(gateway_state& state, proxied_call& call, Common::instant now)
+{
+    // A node to which the request was sent has charged it, unless it refused it.
+    if (!std::exchange(call.isChargeLeftToRelay, false) || call.progress.endpointsRun > 0 || call.account.value.empty())
+        return {};
+    const double amount = allowanceCost(call);
+    Quota::grant grant = Quota::tryConsume(state.quota, call.account, amount, now);
+    if (grant.isPending)
+        grant = Quota::stopWaiting(state.quota, call.account, amount, now);
+    return applyGrant(call, grant, amount);
+}
+
 void refundAllowance(gateway_state& state, proxied_call& call)
 {
-    if (call.allowanceTaken <= 0)
+    if (call.allowanceTaken <= 0 || call.progress.endpointsRun > 0)
         return;
     call.allowanceRefunded = std::exchange(call.allowanceTaken, 0);
     Quota::refund(state.quota, call.account, call.allowanceRefunded);
--- a/Source/Core/Gateway/Allowance.h
+++ b/Source/Core/Gateway/Allowance.h
@@ -22,7 +22,13 @@
 /// @param isLastTry if it isn't granted now it is rejected.
 std::optional<request_rejection> chargeWaiting(gateway_state& state, proxied_call& call, bool isLastTry, Common::instant now);
 
-/// Gives back what the request took from its account's allowance, if it took anything.
+/// Leaves the charge to the node that a request is relayed to.
+void leaveChargeToRelay(gateway_state& state, proxied_call& call);
+
+/// Charges a request that was to be relayed, and is sent to an endpoint by this node after all.
+std::optional<request_rejection> chargeAfterRelay(gateway_state& state, proxied_call& call, Common::instant now);
+
+/// Gives back what the request took from its account's allowance, unless an endpoint may have run it.
 void refundAllowance(gateway_state& state, proxied_call& call);
 
 /// Logs what this node believes of the accounts that are at their limits, once per report interval.
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -53,6 +53,7 @@
     uint32_t urgency { 0 }; ///< 0 is the most urgent.
     double allowanceTaken { 0 }; ///< Charged to the account's allowance, in requests or tokens.
     bool isAwaitingLease { false }; ///< It waits until the owner of the account's allowance answers.
+    bool isChargeLeftToRelay { false };
     double allowanceRefunded { 0 }; ///< Given back last.
     std::optional<Quota::grant> refusedGrant; ///< Set if the account's allowance was exceeded.
     bool isUsageRecorded { false }; ///< Added to the usage report.
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -211,7 +211,7 @@
         if (!placed && placed.error().reason == Scheduling::refusal_reason::Limited && hasNewTokens)
             placed = choosePlacement(state, call, clockNow());
         if (placed)
-            return startAttempt(call, *placed);
+            return startCharged(call, *placed);
         if (relayToUser(call, placed.error()))
             return;
         if (mayWaitForToken(state, call, placed.error(), clockNow()))
@@ -252,8 +252,7 @@
 
     void startRelay(proxied_call& call, const relay_peer& peer)
     {
-        // The other node charges the account.
-        refundAllowance(state, call);
+        leaveChargeToRelay(state, call);
         attempt& current = beginAttempt(call, peer.address);
         current.relayedTo = peer.node;
         call.triedRelays.insert(peer.node);
@@ -342,6 +341,16 @@
         return facts;
     }
 
+    void startCharged(proxied_call& call, const Scheduling::placement& placement)
+    {
+        const std::optional<request_rejection> rejection = chargeAfterRelay(state, call, clockNow());
+        allowances.flush();
+        if (!rejection)
+            return startAttempt(call, placement);
+        Scheduling::recordEnd(state.scheduler, placement.endpoint, placement.id, Scheduling::placement_end::Abandoned, clockNow());
+        refuse(call, *rejection);
+    }
+
     void startAttempt(proxied_call& call, const Scheduling::placement& placement)
     {
         attempt& current = beginAttempt(call, placement.address);
@@ -652,6 +661,7 @@
     void recall(proxied_call& call)
     {
         cancelAttempt(call);
+        ++call.progress.endpointsRun;
         const Scheduling::refusal refusal { Scheduling::refusal_reason::Quarantined, Quarantine::firstTrialInterval };
         if (call.progress.mayRetry && !call.progress.hasHeadSent)
             return refuse(call, rejectUnplaced(refusal));
--- a/Source/Core/Gateway/Tests/AllowanceTest.cpp
+++ b/Source/Core/Gateway/Tests/AllowanceTest.cpp
@@ -40,10 +40,68 @@
     return call;
 }
 
+/// @return how many more requests are granted.
+int countGranted(gateway_state& state)
+{
+    int granted = 0;
+    while (granted < 10 && Quota::tryConsume(state.quota, { "clerks" }, 400, now).isGranted)
+        ++granted;
+    return granted;
+}
+
 } // namespace
 
 TEST_GROUP(Allowance) {};
 
+TEST(Allowance, ARelayThatIsNotSentDoesNotLetItsRequestRunUncharged)
+{
+    struct row {
+        const char* condition;
+        uint32_t endpointsRun; ///< As the end of the relay is counted.
+        int othersGranted; ///< Of a burst of 1000 and requests of 400.
+    };
+    const row rows[] = {
+        { "not sent", 0, 1 },
+        { "run by the other node", 2, 2 },
+    };
+    for (const row& item : rows) {
+        gateway_state state = makeState();
+        proxied_call call = makeCall(state);
+        CHECK_FALSE(chargeAllowance(state, call).has_value());
+        leaveChargeToRelay(state, call);
+        call.progress.endpointsRun = item.endpointsRun;
+        CHECK_FALSE(chargeAfterRelay(state, call, now).has_value());
+        const int granted = countGranted(state);
+        CHECK_EQUAL_TEXT(item.othersGranted, granted, item.condition);
+    }
+}
+
+TEST(Allowance, ARequestThatCannotBeChargedAfterItsRelayIsRejected)
+{
+    gateway_state state = makeState();
+    proxied_call call = makeCall(state);
+    CHECK_FALSE(chargeAllowance(state, call).has_value());
+    leaveChargeToRelay(state, call);
+    const int granted = countGranted(state);
+    CHECK_EQUAL(2, granted);
+    const std::optional<request_rejection> rejection = chargeAfterRelay(state, call, now);
+    CHECK(rejection.has_value());
+    CHECK_EQUAL(429, rejection->status);
+}
+
+TEST(Allowance, ARequestThatMayHaveRunIsNotRefunded)
+{
+    for (const uint32_t endpointsRun : { 0U, 1U }) {
+        gateway_state state = makeState();
+        proxied_call call = makeCall(state);
+        CHECK_FALSE(chargeAllowance(state, call).has_value());
+        call.progress.endpointsRun = endpointsRun;
+        refundAllowance(state, call);
+        const int granted = countGranted(state);
+        CHECK_EQUAL(endpointsRun > 0 ? 1 : 2, granted);
+    }
+}
+
 TEST(Allowance, ARequestWaitsForTheOwnerAndIsRejectedWithoutItsAnswer)
 {
     std::set<Common::node_id> peers;
