Odd rows of another writer end no process and stop no duty

What callers saw (incident report of another operator): one odd entry among those of the engines, and the machines that read the list ended again and again, or stopped following it.

Cause: the decoders of the store's rows trusted their types. value() and get() of nlohmann::json throw on a member of another type, and nothing catches it on the duty's thread (rollout orders and statuses, node rows, lease); connecting a peer socket to an unusable address threw as well; numbers were cast from double to their type unchecked (undefined); an unreadable base64 value dropped the row with its version, so that the lease couldn't be claimed over it; a lease record could state any end; endpoint checks cut a port over 65535 down to 16 bits.

Change: Common/Json decodes with bounded nesting, and its accessors neither throw nor leave the range of a type; all decoders of rows, bodies and JSON texts of peers use it. Common/Address checks "IP:PORT". An endpoint entry whose address or numbers are out of range names no endpoint; a node row without usable addresses names no node; a lease row that stays unchanged for 60 s is over. A row whose value can't be decoded is kept as empty, with its version.

FleetTest expected an unreadable node row to be a node without addresses; it now expects no node.

What was tried and failed: first forms of the test wrote a manifest with a huge version, after which lower ones are rightly ignored, and a majority of node rows with another clock offset, which moves the median. Both were faults of the test.

Not reached: a majority of well-formed node rows with a wrong clock offset still moves true time. Sanitizers, a fuzzer, and a peer that sends such texts weren't run.

--- a/Source/Core/Audit/AuditDuty.cpp
+++ b/Source/Core/Audit/AuditDuty.cpp
@@ -1,6 +1,7 @@
 #include "Audit/AuditDuty.h"
 
 #include "Common/Failure.h"
+#include "Common/Json.h"
 #include "Common/Log.h"
 #include "Common/Metrics.h"
 #include "Common/Text.h"
@@ -85,7 +86,7 @@
     }
     nlohmann::ordered_json body { { "records", nlohmann::ordered_json::array() } };
     for (const Platform::table_row& row : message.reply.rows)
-        body["records"].push_back(nlohmann::ordered_json::parse(row.body, nullptr, false));
+        body["records"].push_back(Common::parseJson<nlohmann::ordered_json>(row.body));
     m_outlets.answerOperator(message.operatorToken, statusOk, body.dump());
 }
 
--- a/Source/Core/Configuration/Change.cpp
+++ b/Source/Core/Configuration/Change.cpp
@@ -1,5 +1,7 @@
 #include "Configuration/Change.h"
 
+#include "Common/Json.h"
+
 #include <array>
 
 namespace Configuration {
@@ -112,7 +114,7 @@
 
 parsed<change> decodeChange(const std::string& text)
 {
-    const json body = json::parse(text, nullptr, false);
+    const json body = Common::parseJson(text);
     auto item = parseProposal(body);
     if (!item)
         return item;
--- a/Source/Core/Configuration/ConfigurationDuty.cpp
+++ b/Source/Core/Configuration/ConfigurationDuty.cpp
@@ -1,5 +1,6 @@
 #include "Configuration/ConfigurationDuty.h"
 
+#include "Common/Json.h"
 #include "Common/Log.h"
 #include "Common/Metrics.h"
 #include "Common/Text.h"
@@ -37,7 +38,7 @@
         snapshot_read decoded { reply.outcome, std::nullopt };
         if (reply.rows.empty())
             return decoded;
-        auto state = parseConfiguration(nlohmann::json::parse(reply.rows.front().body, nullptr, false));
+        auto state = parseConfiguration(Common::parseJson(reply.rows.front().body));
         if (state)
             decoded.state = std::move(*state);
         else
--- a/Source/Core/Control/NodeRows.cpp
+++ b/Source/Core/Control/NodeRows.cpp
@@ -20,9 +20,14 @@
 {
     control_context& context = rows.context;
     context.nodes.clear();
-    for (const auto& [key, row] : rows.watch.rows)
-        context.nodes[{ key }] = Fleet::decodeNode({ key }, row.value);
-    // Another node has removed the row because it considered this node dead: register again.
+    for (const auto& [key, row] : rows.watch.rows) {
+        auto node = Fleet::decodeNode({ key }, row.value);
+        if (node)
+            context.nodes.insert_or_assign({ key }, std::move(*node));
+        else
+            Common::logEvent(Common::log_level::Warning, "node_row_unreadable", { { "node", key } });
+    }
+    // Another node has removed the row because it considered this node dead, or the row is unreadable: register again.
     if (rows.isRegistered && !context.nodes.contains(context.settings.self.node))
         rows.isRegistered = false;
 }
--- a/Source/Core/Endpoints/CloudCodec.cpp
+++ b/Source/Core/Endpoints/CloudCodec.cpp
@@ -1,5 +1,7 @@
 #include "Endpoints/CloudCodec.h"
 
+#include "Common/Json.h"
+
 #include <optional>
 
 #include <nlohmann/json.hpp>
@@ -86,7 +88,7 @@
 
 Common::result<std::vector<instance_info>> parseInstances(const std::string& body)
 {
-    const json parsed = json::parse(body, nullptr, false);
+    const json parsed = Common::parseJson(body);
     if (!parsed.is_object() || !parsed.contains("instances") || !parsed["instances"].is_array())
         return tl::unexpected(malformedAnswer("cloud"));
     std::vector<instance_info> instances;
@@ -107,7 +109,7 @@
 
 Common::result<load_report> parseLoad(const Common::endpoint_id& id, const std::string& body)
 {
-    const json parsed = json::parse(body, nullptr, false);
+    const json parsed = Common::parseJson(body);
     if (!parsed.is_object())
         return tl::unexpected(malformedAnswer(id.value));
     try {
--- a/Source/Core/Entry/CallerApi.cpp
+++ b/Source/Core/Entry/CallerApi.cpp
@@ -1,5 +1,6 @@
 #include "Entry/CallerApi.h"
 
+#include "Common/Json.h"
 #include "Common/Text.h"
 #include "Configuration/Secret.h"
 
@@ -85,7 +86,7 @@
     Dispatch::caller_request parsed;
     parsed.token = request.token;
     parsed.account = *account;
-    parsed.body = json::parse(request.body, nullptr, false);
+    parsed.body = Common::parseJson(request.body);
     if (!parsed.body.is_object())
         return reject(failure_kind::MalformedRequest, "body");
     if (!hasValidMessages(parsed.body))
--- a/Source/Core/Entry/OperatorApi.cpp
+++ b/Source/Core/Entry/OperatorApi.cpp
@@ -1,5 +1,6 @@
 #include "Entry/OperatorApi.h"
 
+#include "Common/Json.h"
 #include "Common/Log.h"
 #include "Common/Text.h"
 #include "Configuration/Secret.h"
@@ -31,7 +32,7 @@
 
     operator_request parseChange(const Http::incoming_request& request)
     {
-        const json body = json::parse(request.body, nullptr, false);
+        const json body = Common::parseJson(request.body);
         if (!body.is_object())
             return failureAnswer(Common::failure_kind::MalformedRequest, "body");
         auto change = Configuration::parseProposal(body);
--- a/Source/Core/Fleet/Directory.cpp
+++ b/Source/Core/Fleet/Directory.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/Directory.h"
 
-#include <nlohmann/json.hpp>
+#include "Common/Address.h"
+#include "Common/Json.h"
 
 namespace Fleet {
 
@@ -23,6 +24,18 @@
         return addresses;
     }
 
+    bool isAddressOrEmpty(const std::string& text)
+    {
+        return text.empty() || Common::parseAddress(text);
+    }
+
+    /// A store's clock may begin anywhere, so the offset may be as large as a wall clock's time.
+    bool isClockOffset(int64_t milliseconds)
+    {
+        constexpr int64_t limit = int64_t { 1 } << 53;
+        return milliseconds >= -limit && milliseconds <= limit;
+    }
+
 } // namespace
 
 std::vector<std::string> chooseAddresses(const node_map& nodes, const Common::zone_name& zone, const Common::region_name& region)
@@ -52,22 +65,23 @@
     return body.dump();
 }
 
-node_entry decodeNode(const Common::node_id& node, const std::string& text)
+std::optional<node_entry> decodeNode(const Common::node_id& node, const std::string& text)
 {
+    const nlohmann::json body = Common::parseJson(text);
     node_entry entry;
     entry.node = node;
-    const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
-    if (!body.is_object())
-        return entry;
-    entry.clientAddress = body.value("callers", "");
-    entry.peerAddress = body.value("peer", "");
-    entry.zone = { body.value("zone", "") };
-    entry.region = { body.value("region", "") };
-    entry.incarnation = { body.value("incarnation", uint64_t { 0 }) };
-    entry.cores = body.value("core_share", 1.0);
-    entry.isLeaving = body.value("leaving", false);
-    if (body.contains("clock_offset_ms") && body["clock_offset_ms"].is_number_integer())
-        entry.clockOffset = body["clock_offset_ms"].get<int64_t>();
+    entry.clientAddress = Common::textMember(body, "callers");
+    entry.peerAddress = Common::textMember(body, "peer");
+    if (!isAddressOrEmpty(entry.clientAddress) || !Common::parseAddress(entry.peerAddress))
+        return {};
+    entry.zone = { Common::textMember(body, "zone") };
+    entry.region = { Common::textMember(body, "region") };
+    entry.incarnation = { Common::integerMember<uint64_t>(body, "incarnation") };
+    entry.cores = Common::numberMember(body, "core_share", 1);
+    entry.isLeaving = Common::flagMember(body, "leaving");
+    const nlohmann::json& offset = Common::memberOf(body, "clock_offset_ms");
+    if (Common::isIntegerOf<int64_t>(offset) && isClockOffset(offset.get<int64_t>()))
+        entry.clockOffset = offset.get<int64_t>();
     return entry;
 }
 
--- a/Source/Core/Fleet/Directory.h
+++ b/Source/Core/Fleet/Directory.h
@@ -46,7 +46,7 @@
 
 /// @param node the row's key.
 /// @param text the row's value.
-/// @return the node; its addresses are empty when the row can't be parsed.
-node_entry decodeNode(const Common::node_id& node, const std::string& text);
+/// @return the node; nothing when the row can't be parsed.
+std::optional<node_entry> decodeNode(const Common::node_id& node, const std::string& text);
 
 } // namespace Fleet
--- a/Source/Core/Fleet/Tests/FleetTest.cpp
+++ b/Source/Core/Fleet/Tests/FleetTest.cpp
@@ -194,11 +194,11 @@
     item.incarnation = { 77 };
     item.clockOffset = -12;
     item.isLeaving = true;
-    const node_entry read = decodeNode({ "n" }, encodeNode(item));
+    const node_entry read = decodeNode({ "n" }, encodeNode(item)).value_or(node_entry {});
     STRCMP_EQUAL("1.2.3.4:6", read.peerAddress.c_str());
     CHECK(read.incarnation == item.incarnation);
     CHECK(read.clockOffset == item.clockOffset);
     CHECK(read.isLeaving);
     for (const char* text : { "", "[]", "{", "7" })
-        CHECK(decodeNode({ "n" }, text).clientAddress.empty());
+        CHECK(!decodeNode({ "n" }, text).has_value());
 }
--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -1,10 +1,7 @@
 #include "Gateway/EndpointChannel.h"
 
-#include "Common/Text.h"
 #include "Gateway/SocketOptions.h"
 
-#include <limits>
-
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -22,20 +19,6 @@
     /// An endpoint in trouble may send informational heads without end.
     constexpr unsigned maxInformationalHeads = 8;
 
-    boost::asio::ip::tcp::endpoint parseAddress(const std::string& address, error_code& error)
-    {
-        const size_t colon = address.rfind(':');
-        if (colon == std::string::npos) {
-            error = boost::asio::error::invalid_argument;
-            return {};
-        }
-        const auto port = Common::parseUnsigned(address.substr(colon + 1));
-        const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
-        if (!port || *port > std::numeric_limits<uint16_t>::max())
-            error = boost::asio::error::invalid_argument;
-        return { ip, static_cast<uint16_t>(port.value_or(0)) };
-    }
-
 } // namespace
 
 const char* nameOf(body_framing framing)
@@ -107,7 +90,7 @@
 void endpoint_channel::connect(std::chrono::milliseconds timeout)
 {
     error_code error;
-    const tcp::endpoint target = parseAddress(m_address, error);
+    const tcp::endpoint target = toSocketAddress(m_address, error);
     if (error) {
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->finish(exchange_end::NotSent); });
         return;
--- a/Source/Core/Gateway/EndpointCheck.cpp
+++ b/Source/Core/Gateway/EndpointCheck.cpp
@@ -1,6 +1,6 @@
 #include "Gateway/EndpointCheck.h"
 
-#include "Common/Text.h"
+#include "Gateway/SocketOptions.h"
 
 #include <memory>
 
@@ -62,13 +62,11 @@
 
 void checkEndpoint(boost::asio::io_context& context, const std::string& address, std::chrono::milliseconds delay, std::chrono::milliseconds timeout, std::function<void(endpoint_reachability)> onResult)
 {
-    const size_t colon = address.rfind(':');
     error_code error;
-    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
-    const auto port = Common::parseUnsigned(address.substr(colon + 1));
-    if (error || !port)
+    const tcp::endpoint target = toSocketAddress(address, error);
+    if (error)
         return boost::asio::post(context, [onResult = std::move(onResult)] { onResult(endpoint_reachability::Unknown); });
-    const auto check = std::make_shared<running_check>(running_check { tcp::socket(context), boost::asio::steady_timer(context, delay), { ip, static_cast<uint16_t>(*port) }, std::move(onResult) });
+    const auto check = std::make_shared<running_check>(running_check { tcp::socket(context), boost::asio::steady_timer(context, delay), target, std::move(onResult) });
     check->timer.async_wait([check, timeout](const error_code&) { connect(check, timeout); });
 }
 
--- a/Source/Core/Gateway/SocketOptions.cpp
+++ b/Source/Core/Gateway/SocketOptions.cpp
@@ -1,11 +1,14 @@
 #include "Gateway/SocketOptions.h"
 
+#include "Common/Address.h"
 #include "Common/DetectionTime.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <boost/asio/error.hpp>
+
 namespace Gateway {
 
 namespace {
@@ -33,4 +36,14 @@
     setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(Common::detectionTime.count()));
 }
 
+boost::asio::ip::tcp::endpoint toSocketAddress(const std::string& address, boost::system::error_code& error)
+{
+    const auto parsed = Common::parseAddress(address);
+    if (!parsed) {
+        error = boost::asio::error::invalid_argument;
+        return {};
+    }
+    return { boost::asio::ip::make_address(parsed->ip, error), parsed->port };
+}
+
 } // namespace Gateway
--- a/Source/Core/Gateway/SocketOptions.h
+++ b/Source/Core/Gateway/SocketOptions.h
@@ -1,7 +1,9 @@
 #pragma once
 
 /// @file
-/// Options of the gateway's TCP sockets.
+/// Options and addresses of the gateway's TCP sockets.
+
+#include <string>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -15,4 +17,8 @@
 /// receive window stays too small for the next segment, however it answers.
 void limitUnacknowledgedTime(boost::asio::ip::tcp::socket& socket);
 
+/// @param address IP number and port.
+/// @param error set when the text is no such address.
+boost::asio::ip::tcp::endpoint toSocketAddress(const std::string& address, boost::system::error_code& error);
+
 } // namespace Gateway
--- a/Source/Core/Idempotency/CallRecord.cpp
+++ b/Source/Core/Idempotency/CallRecord.cpp
@@ -2,7 +2,7 @@
 
 #include <array>
 
-#include <nlohmann/json.hpp>
+#include "Common/Json.h"
 
 namespace Idempotency {
 
@@ -56,22 +56,22 @@
 
 std::optional<call_record> decodeRecord(const Platform::table_row& row)
 {
-    const json body = json::parse(row.body, nullptr, false);
+    const json body = Common::parseJson(row.body);
     if (!body.is_object())
         return std::nullopt;
     call_record record;
     record.rowVersion = row.version;
     record.state = call_state::Unknown;
-    const std::string state = body.value("state", "");
+    const std::string state = Common::textMember(body, "state");
     for (const call_state known : callStates) {
         if (state == nameOf(known))
             record.state = known;
     }
-    record.attemptToken = body.value("attempt", "");
-    record.bodyHash = body.value("body_hash", "");
-    record.node = body.value("node", "");
-    record.claimedAt = { body.value("claimed_at_ms", int64_t { 0 }) };
-    record.outcome = { body.value("status", 0), body.value("answer", "") };
+    record.attemptToken = Common::textMember(body, "attempt");
+    record.bodyHash = Common::textMember(body, "body_hash");
+    record.node = Common::textMember(body, "node");
+    record.claimedAt = { Common::integerMember<int64_t>(body, "claimed_at_ms") };
+    record.outcome = { Common::integerMember<int>(body, "status"), Common::textMember(body, "answer") };
     return record;
 }
 
--- a/Source/Core/Lease/Lease.cpp
+++ b/Source/Core/Lease/Lease.cpp
@@ -1,6 +1,6 @@
 #include "Lease/Lease.h"
 
-#include <nlohmann/json.hpp>
+#include "Common/Json.h"
 
 namespace Lease {
 
@@ -11,6 +11,8 @@
     /// Allowance for the difference between the clocks of two nodes that determine whether a lease has lapsed.
     constexpr milliseconds clockTolerance { 200 };
     constexpr milliseconds retryDelay { 250 };
+    /// A holder writes the row anew within its lease. An unchanged row is over after this, whatever it states.
+    constexpr milliseconds longestLease { 60000 };
     /// Position of the era in a fencing token.
     constexpr uint32_t eraShift = 40;
 
@@ -37,7 +39,7 @@
     {
         if (state.lastSeen ? state.lastSeen->era < state.era : state.hasEraRisen)
             return isEarlierEraOver(state, now);
-        return !state.lastSeen || earliestStoreTime(state.clock, now).value > state.lastSeen->until.value + clockTolerance.count();
+        return !state.lastSeen || now - state.versionSeenAt > longestLease || earliestStoreTime(state.clock, now).value - clockTolerance.count() > state.lastSeen->until.value;
     }
 
     lease_call makeClaim(lease_state& state, Common::instant now)
@@ -206,10 +208,10 @@
 
 std::optional<lease_record> decodeRecord(const std::string& text)
 {
-    const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
-    if (!body.is_object() || !body.contains("holder") || !body.contains("until"))
+    const nlohmann::json body = Common::parseJson(text);
+    if (!Common::memberOf(body, "holder").is_string() || !Common::isIntegerOf<int64_t>(Common::memberOf(body, "until")))
         return {};
-    return lease_record { { body.value("holder", "") }, { body.value("until", int64_t { 0 }) }, body.value("nonce", uint64_t { 0 }), { body.value("era", uint64_t { 0 }) } };
+    return lease_record { { Common::textMember(body, "holder") }, { Common::integerMember<int64_t>(body, "until") }, Common::integerMember<uint64_t>(body, "nonce"), { Common::integerMember<uint64_t>(body, "era") } };
 }
 
 } // namespace Lease
--- a/Source/Core/Membership/PeerCodec.cpp
+++ b/Source/Core/Membership/PeerCodec.cpp
@@ -1,5 +1,6 @@
 #include "Membership/PeerCodec.h"
 
+#include "Common/Json.h"
 #include "Protocol/peer.pb.h"
 
 #include <algorithm>
@@ -116,7 +117,7 @@
 {
     if (record.snapshot_json().empty())
         return std::nullopt;
-    auto state = Configuration::parseConfiguration(nlohmann::json::parse(record.snapshot_json(), nullptr, false));
+    auto state = Configuration::parseConfiguration(Common::parseJson(record.snapshot_json()));
     if (!state)
         return std::nullopt;
     return Configuration::peer_snapshot { std::move(*state) };
@@ -158,7 +159,7 @@
     item.request = { record.request() };
     item.account = { record.account() };
     item.work = { record.class_name() };
-    item.body = nlohmann::json::parse(record.body_json(), nullptr, false);
+    item.body = Common::parseJson(record.body_json());
     item.tokens.assign(record.tokens().begin(), record.tokens().end());
     item.isStreamed = record.is_streamed();
     return item;
--- a/Source/Core/Membership/PeerSockets.h
+++ b/Source/Core/Membership/PeerSockets.h
@@ -36,7 +36,7 @@
         Common::instant lastUsed;
     };
 
-    open_socket& socketTo(const std::string& address);
+    open_socket* socketTo(const std::string& address);
 
     zmq::context_t m_context { 1 };
     std::unordered_map<std::string, open_socket> m_sockets;
--- a/Source/Core/Platform/TableCodec.cpp
+++ b/Source/Core/Platform/TableCodec.cpp
@@ -1,5 +1,6 @@
 #include "Platform/TableCodec.h"
 
+#include "Common/Json.h"
 #include "Common/Text.h"
 
 #include <nlohmann/json.hpp>
@@ -92,7 +93,7 @@
     table_reply decodeRows(const std::string& body)
     {
         table_reply reply;
-        const json parsed = json::parse(body, nullptr, false);
+        const json parsed = Common::parseJson(body);
         if (!parsed.is_object())
             return reply;
         try {
--- a/Source/Core/Quarantine/StoredQuarantine.cpp
+++ b/Source/Core/Quarantine/StoredQuarantine.cpp
@@ -1,11 +1,10 @@
 #include "Quarantine/StoredQuarantine.h"
 
 #include "Common/Hash.h"
+#include "Common/Json.h"
 
 #include <charconv>
 
-#include <nlohmann/json.hpp>
-
 namespace Quarantine {
 
 namespace {
@@ -25,9 +24,9 @@
         if (!listed->is_array())
             return {};
         for (const nlohmann::json& crash : *listed) {
-            if (!crash.is_object() || !crash.contains(endpointField) || !crash[endpointField].is_string() || !crash.contains(startedField) || !crash[startedField].is_number_integer())
+            if (!Common::memberOf(crash, endpointField).is_string() || !Common::isIntegerOf<int64_t>(Common::memberOf(crash, startedField)))
                 return {};
-            crashes.push_back({ { crash[endpointField].get<std::string>() }, { crash[startedField].get<int64_t>() } });
+            crashes.push_back({ { Common::textMember(crash, endpointField) }, { Common::integerMember<int64_t>(crash, startedField) } });
         }
         return crashes;
     }
@@ -52,13 +51,12 @@
     stored_quarantine item;
     const char* const end = key.data() + key.size();
     const auto parsed = std::from_chars(key.data(), end, item.subject.value, hexadecimal);
-    const nlohmann::json body = nlohmann::json::parse(value, nullptr, false);
+    const nlohmann::json body = Common::parseJson(value);
     if (parsed.ec != std::errc() || parsed.ptr != end || !body.is_object())
         return {};
-    const auto trials = body.find(trialsField);
-    if (trials == body.end() || !trials->is_number_unsigned())
+    if (!Common::isIntegerOf<uint32_t>(Common::memberOf(body, trialsField)))
         return {};
-    item.trials = trials->get<uint32_t>();
+    item.trials = Common::integerMember<uint32_t>(body, trialsField);
     auto crashes = decodeCrashes(body);
     if (!crashes)
         return {};
--- a/Source/Core/Usage/Usage.cpp
+++ b/Source/Core/Usage/Usage.cpp
@@ -1,6 +1,6 @@
 #include "Usage/Usage.h"
 
-#include <nlohmann/json.hpp>
+#include "Common/Json.h"
 
 namespace Usage {
 
@@ -57,7 +57,7 @@
 
 std::optional<account_counts> decodeCounts(const std::string& text)
 {
-    const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json body = Common::parseJson(text);
     if (!body.is_object())
         return {};
     account_counts counts;
--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -71,12 +71,30 @@
     m_mode = mode;
 }
 
+void store_stand_in::failReadsOf(const std::string& table)
+{
+    const std::lock_guard guard(m_mutex);
+    m_unreadableTable = table;
+}
+
 void store_stand_in::put(const std::string& table, const std::string& key, const json& value)
 {
     const std::lock_guard guard(m_mutex);
     m_rows[{ table, key }] = { value.dump(), ++m_version, false };
 }
 
+void store_stand_in::putBytes(const std::string& table, const std::string& key, const std::string& bytes)
+{
+    const std::lock_guard guard(m_mutex);
+    m_rows[{ table, key }] = { bytes, ++m_version, false };
+}
+
+void store_stand_in::putUnencoded(const std::string& table, const std::string& key, const std::string& text)
+{
+    const std::lock_guard guard(m_mutex);
+    m_rows[{ table, key }] = { text, ++m_version, false, true };
+}
+
 void store_stand_in::remove(const std::string& table, const std::string& key)
 {
     const std::lock_guard guard(m_mutex);
@@ -141,7 +159,7 @@
             continue;
         if (name.second < from || (!to.empty() && name.second >= to))
             continue;
-        rows.push_back({ { "table", table }, { "part", "" }, { "key", name.second }, { "ver", row.version }, { "value", PlatformAdapter::encodeBase64(row.value) } });
+        rows.push_back({ { "table", table }, { "part", "" }, { "key", name.second }, { "ver", row.version }, { "value", row.isUnencoded ? row.value : PlatformAdapter::encodeBase64(row.value) } });
         if (row.isRemoved)
             rows.back()["tombstone"] = true;
     }
@@ -179,6 +197,8 @@
         return respond(request.token, status, withVersionAndTime(body).dump());
     }
     const std::string table = parameter(request, "table");
+    if (!table.empty() && table == m_unreadableTable)
+        return respond(request.token, busyStatus, "");
     if (request.path == "/v1/rows-get") {
         const json rows = selectRows(table, 0, false, parameter(request, "from"), parameter(request, "to"));
         return respond(request.token, okStatus, withVersionAndTime({ { "rows", rows }, { "hasMore", false } }).dump());
--- a/Tests/Platform/StoreStandIn.h
+++ b/Tests/Platform/StoreStandIn.h
@@ -34,8 +34,14 @@
     /// @return IP number and port.
     std::string address() const;
     void setMode(store_mode mode);
+    /// Answers reads of this table with 503; with an empty name, of none.
+    void failReadsOf(const std::string& table);
     /// Writes a row without a condition.
     void put(const std::string& table, const std::string& key, const nlohmann::json& value);
+    /// Writes a row of any bytes without a condition.
+    void putBytes(const std::string& table, const std::string& key, const std::string& bytes);
+    /// Writes a row whose value is given out as it is, without encoding.
+    void putUnencoded(const std::string& table, const std::string& key, const std::string& text);
     void remove(const std::string& table, const std::string& key);
     /// Keeps a copy of the rows, as a backup does.
     void backUp();
@@ -52,6 +58,7 @@
         std::string value;
         uint64_t version { 0 };
         bool isRemoved { false };
+        bool isUnencoded { false };
     };
 
     void answer(Http::incoming_request&& request);
@@ -67,6 +74,7 @@
     std::map<std::pair<std::string, std::string>, stored_row> m_copiedRows;
     uint64_t m_copiedVersion { 0 };
     uint64_t m_era { 0 };
+    std::string m_unreadableTable;
     std::atomic<store_mode> m_mode { store_mode::Serve };
     Http::server m_server;
     std::thread m_thread;
