An end of a roll-out that the store holds is never written over

Cause: the status was written without a condition, and a status that hasn't been read counted as one that doesn't exist. The lease is tried more often than a table that could not be read, so that a new process may hold it before it knows the status.

Change: the holder reads the row just before it writes, and writes on the condition that the version is still the one read. An end that the row holds for the same order is taken over instead. This also covers writes that are performed late.

Open: after a restore, a process without memory takes a status row older than a rewritten order row for that of an earlier order.

--- a/Source/Core/Control/RolloutRunner.cpp
+++ b/Source/Core/Control/RolloutRunner.cpp
@@ -3,6 +3,8 @@
 #include "Common/BootClock.h"
 #include "Common/Log.h"
 
+#include <algorithm>
+
 namespace Control {
 
 namespace {
@@ -42,9 +44,49 @@
 
     void perform(rollout_runner& runner, const Rollout::propose_end& action) { recordProposal(runner.tracker, action); }
 
-    void handleReported(rollout_runner& runner, const tracked_rollout& report, const Store::rows_answer& answer)
+    void endReport(rollout_runner& runner, const tracked_rollout& report, bool isWritten)
+    {
+        perform(runner, recordReported(runner.tracker, report, isWritten, Common::bootClockNow()));
+    }
+
+    const Store::row* findRow(const std::vector<Store::row>& rows, const Store::row_name& name)
+    {
+        const auto found = std::find_if(rows.begin(), rows.end(), [&name](const Store::row& row) { return row.name == name && !row.isRemoved; });
+        return found == rows.end() ? nullptr : &*found;
+    }
+
+    /// @return the status that the row holds for this order; a row older than the order belongs to an earlier rollout to the
+    /// same version.
+    std::optional<rollout_status> statusOf(const rollout_runner& runner, const tracked_rollout& rollout, const Store::row& row)
+    {
+        if (row.version <= rollout.orderVersion)
+            return {};
+        return runner.context.settings.calls.readRolloutStatus(row, rollout.order);
+    }
+
+    void writeStatus(rollout_runner& runner, const tracked_rollout& report, const Store::row* known)
+    {
+        Store::transaction write;
+        write.writes.push_back(runner.context.settings.calls.rolloutStatus(report.order, *report.proposed));
+        write.conditions.push_back({ write.writes.front().name, known == nullptr ? Store::row_version {} : known->version });
+        Common::logEvent(Common::log_level::Info, "rollout_reported", { { "service", report.order.service.value }, { "version", report.order.to.value }, { "status", static_cast<int>(*report.proposed) } });
+        runner.context.commit(write, [&runner, report](const Store::rows_answer& answer) { endReport(runner, report, answer.outcome == Store::call_outcome::Done); });
+    }
+
+    /// Writes the status, unless the store holds an end of the same order.
+    void handleStatusRead(rollout_runner& runner, tracked_rollout report, const Store::rows_answer& answer)
     {
-        perform(runner, recordReported(runner.tracker, report, answer.outcome == Store::call_outcome::Done, Common::bootClockNow()));
+        if (answer.outcome != Store::call_outcome::Done)
+            return endReport(runner, report, false);
+        const Store::row_name name = runner.context.settings.calls.rolloutStatus(report.order, *report.proposed).name;
+        const Store::row* const known = findRow(answer.rows, name);
+        const auto stored = known == nullptr ? std::nullopt : statusOf(runner, report, *known);
+        if (!stored || (*stored == rollout_status::InProgress && stored != report.proposed))
+            return writeStatus(runner, report, known);
+        if (stored != report.proposed)
+            Common::logEvent(Common::log_level::Warning, "rollout_already_ended", { { "service", report.order.service.value }, { "version", report.order.to.value }, { "status", static_cast<int>(*stored) } });
+        report.proposed = stored;
+        endReport(runner, report, true);
     }
 
 } // namespace
@@ -67,9 +109,8 @@
 {
     for (const auto& [service, rollout] : std::map(runner.tracker.rollouts)) {
         for (const auto& [key, row] : rows) {
-            const auto status = runner.context.settings.calls.readRolloutStatus(row, rollout.order);
-            // A row older than the order belongs to an earlier rollout to the same version.
-            if (status && key.ends_with("/" + service.value) && row.version > rollout.orderVersion)
+            const auto status = statusOf(runner, rollout, row);
+            if (status && key.ends_with("/" + service.value))
                 perform(runner, applyReportedStatus(runner.tracker, service, *status, Common::bootClockNow()));
         }
     }
@@ -81,10 +122,9 @@
     if (!report)
         return;
     control_context& context = runner.context;
-    Store::transaction write;
-    write.writes.push_back(context.settings.calls.rolloutStatus(report->order, *report->proposed));
-    Common::logEvent(Common::log_level::Info, "rollout_reported", { { "service", report->order.service.value }, { "version", report->order.to.value }, { "status", static_cast<int>(*report->proposed) } });
-    context.commit(write, [&runner, report](const Store::rows_answer& answer) { handleReported(runner, *report, answer); });
+    const Store::row_name name = context.settings.calls.rolloutStatus(report->order, *report->proposed).name;
+    const Store::range query { name.table, name.part, name.key, "", 1 };
+    context.call(context.settings.calls.rows(context.storeAddress(), query), [&runner, report](const Store::rows_answer& answer) { handleStatusRead(runner, *report, answer); });
 }
 
 } // namespace Control
--- a/Source/Core/Control/RolloutRunner.h
+++ b/Source/Core/Control/RolloutRunner.h
@@ -26,7 +26,8 @@
 /// @param rows rows of the status table.
 void readStatusRows(rollout_runner& runner, const std::map<std::string, Store::row>& rows);
 
-/// Writes the status of a rollout to the store if it has changed. Only the lease holder may call this.
+/// Writes the status of a rollout to the store if it has changed, on the condition that the row is still the one that was
+/// read just before: an end that the store holds for the order is taken over instead. Only the lease holder may call this.
 void reportRollouts(rollout_runner& runner);
 
 } // namespace Control
