A stream is continued only by numbered events of a response that is an event stream

Callers found an error's text or its whole head in the middle of their stream, or the stream ended as complete after the next endpoint had answered without events (204, another content type, an empty body).

Cause: any 2xx on a stream route was read as events, and a second head inside a stream was found only with a seal. A continuation now must have the content type text/event-stream, numbered data events, and at least one event (new, or one that the caller has, which shows where the stream stands); else the next endpoint is asked or the stream is cut. An event that holds the head of a response ends the attempt. The search for the end of an event no longer starts anew with each piece.

--- a/Source/Core/Gateway/AttemptOutcome.cpp
+++ b/Source/Core/Gateway/AttemptOutcome.cpp
@@ -71,7 +71,9 @@
         return attempt_end::NotSent;
     // A stream that ends within an event is incomplete even if its HTTP framing is complete.
     const bool endsInsideEvent = current.hasEvents && !current.events.partial.empty();
-    if (end == exchange_end::Broken || endsInsideEvent)
+    // A continuation without events doesn't show that the stream was at its end.
+    const bool hasNoEvent = current.hasEvents && current.events.isContinuation && current.events.eventCount == 0;
+    if (end == exchange_end::Broken || endsInsideEvent || hasNoEvent)
         return attempt_end::Broken;
     if (current.relayedTo && !current.response.hasProofOfOrigin)
         return classifyRelayed(call);
--- a/Source/Core/Gateway/EventStream.h
+++ b/Source/Core/Gateway/EventStream.h
@@ -23,6 +23,10 @@
 struct event_reader {
     std::string partial; ///< Bytes of an event that is not complete yet.
     std::optional<uint64_t> skipUpTo; ///< The caller already has the events up to this id.
+    bool isContinuation { false }; ///< The caller already has events of another attempt.
+    size_t searched { 0 }; ///< Bytes of `partial` in which no event ends.
+    size_t eventCount { 0 }; ///< Events read, including those that the caller already has.
+    bool isInvalid { false }; ///< What followed those events belongs to no stream, or can't be placed in it.
 };
 
 /// @param position of the caller in the stream.
@@ -32,7 +36,7 @@
 /// @param reader of the attempt; changed in place.
 /// @param position advanced by the returned events.
 /// @param bytes that have arrived; they may end anywhere within an event.
-/// @return the bytes of all complete events that the caller does not have yet.
+/// @return the bytes of all complete events that the caller does not have yet, up to the first invalid one.
 std::string extractEvents(event_reader& reader, stream_position& position, std::string_view bytes);
 
 } // namespace Gateway
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -402,7 +402,8 @@
         const bool isTrusted = !current.isForOtherRequest && current.response.hasProofOfOrigin && !current.response.hasContentEncoding;
         if (isSuccess(head.status) && !isTrusted)
             return false;
-        current.hasEvents = isSuccess(head.status) && !current.response.hasNotRun && call.route->kind == Catalog::route_kind::Stream;
+        current.hasEvents = isSuccess(head.status) && !current.response.hasNotRun && call.route->kind == Catalog::route_kind::Stream
+            && (current.response.isEventStream || !call.progress.hasHeadSent);
         return !current.isForOtherRequest;
     }
 
@@ -416,16 +417,12 @@
             current.body += bytes;
             return current.body.size() <= call.catalog->limits.bodyBytes;
         }
-        const size_t partialSize = current.events.partial.size();
-        const std::optional<size_t> secondHead = findResponseHead(current.events.partial + std::string(bytes), settings.wire);
-        if (secondHead) {
-            logSecondResponse(call);
-            bytes = bytes.substr(0, *secondHead - std::min(*secondHead, partialSize));
-        }
         const std::string events = extractEvents(current.events, call.position, bytes);
         if (!events.empty())
             forwardEvents(call, events);
-        return !secondHead && current.events.partial.size() <= maxEventBytes;
+        if (current.events.isInvalid)
+            logSecondResponse(call);
+        return !current.events.isInvalid && current.events.partial.size() <= maxEventBytes;
     }
 
     void forwardEvents(proxied_call& call, std::string_view events)
--- a/Source/Core/Gateway/WireFormat.h
+++ b/Source/Core/Gateway/WireFormat.h
@@ -61,6 +61,7 @@
     std::optional<Scheduling::reported_load> load;
     std::optional<milliseconds> keepAlive; ///< How long the endpoint keeps an idle connection open.
     bool hasContentEncoding { false };
+    bool isEventStream { false }; ///< By its content type.
     bool hasNoPath { false }; ///< Of another node: it reaches no endpoint, and has sent the request to none.
     std::vector<Http::header> forwardedHeaders; ///< Header lines forwarded to the caller unchanged.
 };
--- a/Tests/Platform/ForeignAnswersTest.cpp
+++ b/Tests/Platform/ForeignAnswersTest.cpp
@@ -103,3 +103,65 @@
         }
     }
 }
+
+TEST(ForeignAnswers, AStreamThatBrokeOffGoesOnWithItsNextEventsOrEndsAsIncomplete)
+{
+    struct row {
+        const char* condition;
+        std::string second; ///< Of the next endpoint, in whole.
+        bool mayEnd { false }; ///< It shows that the stream was at its end.
+    };
+    const std::string eventStream = "Content-Type: text/event-stream\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string text = "{\"error\":\"stray\"}\n\n";
+    const std::string length = "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n";
+    const std::string own = headOf(200, "@ID@") + seal;
+    const std::string errorHead = headOf(500, "@ID@") + seal;
+    const std::string strayHead = "HTTP/1.1 500 stray\r\nContent-Length: 5\r\n\r\nstray";
+    const row rows[] = {
+        { "404 with a length", headOf(404, "@ID@") + seal + length + text },
+        { "500 with a length", errorHead + length + text },
+        { "500 in chunks", errorHead + chunked + chunk(text) + "0\r\n\r\n" },
+        { "500 until the connection ends", errorHead + "\r\n" + text },
+        { "500 as an event stream", errorHead + eventStream + chunked + chunk("data: stray\n\n") + "0\r\n\r\n" },
+        { "503 not executed", headOf(503, "@ID@") + notExecuted + length + text },
+        { "503 not executed, of another request", headOf(503, "other") + notExecuted + length + text },
+        { "redirect", headOf(302, "@ID@") + seal + "Location: /stray\r\n" + length + text },
+        { "204", headOf(204, "@ID@") + seal + "\r\n" },
+        { "200 of another content type", own + "Content-Type: application/json\r\n" + length + text },
+        { "200 of another content type, in chunks", own + "Content-Type: text/html\r\n" + chunked + chunk(text) + "0\r\n\r\n" },
+        { "200 without a content type", own + length + text },
+        { "200 without events", own + eventStream + "Content-Length: 0\r\n\r\n" },
+        { "200 without events, in chunks", own + eventStream + chunked + "0\r\n\r\n" },
+        { "200 with an error as its event", own + eventStream + chunked + chunk("event: error\ndata: stray\n\n") + "0\r\n\r\n" },
+        { "200 of another request", headOf(200, "other") + seal + eventStream + chunked + chunk("id: 2\ndata: stray\n\n") + "0\r\n\r\n" },
+        { "200 without a seal", headOf(200, "@ID@") + eventStream + chunked + chunk("id: 2\ndata: stray\n\n") + "0\r\n\r\n" },
+        { "an error's head as its events, in chunks", own + eventStream + chunked + chunk(strayHead) + "0\r\n\r\n" },
+        { "an error's head inside an event", own + eventStream + chunked + chunk("id: 2\ndata: b" + strayHead) + "0\r\n\r\n" },
+        { "an error's head until the connection ends", own + eventStream + "\r\n" + strayHead },
+        { "only events that the caller has", own + eventStream + chunked + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n", true },
+    };
+    const std::string first = chunk("id: 1\ndata: a\n\n");
+    const std::string unframed = answerHead + eventStream + "\r\nid: 1\ndata: a\n\nid: 2\ndata: b";
+    const scripted_answer breaks[] = {
+        { streamHead + first, answer_end::Close },
+        { streamHead + first, answer_end::Reset },
+        { streamHead + first + "garbage", answer_end::Close },
+        { unframed, answer_end::Close },
+        { streamHead + first + chunk(strayHead), answer_end::Close },
+        { streamHead + first + chunk("id: 2\nda" + strayHead), answer_end::Close },
+    };
+    for (const scripted_answer& broken : breaks) {
+        for (const row& item : rows) {
+            running_gateway gateway({ { broken }, { { item.second, answer_end::Close } } });
+            raw_caller caller(gateway.port);
+            caller.send(makeRequest("/resume/x"));
+            const std::string answer = caller.receive();
+            const bool hasFirst = answer.ends_with("\r\n\r\n" + first);
+            // A reset may discard the event before the gateway reads it.
+            const bool hasNothing = broken.end == answer_end::Reset && statusOf(answer) >= 500;
+            const bool hasEnded = item.mayEnd && answer.ends_with("\r\n\r\n" + first + "0\r\n\r\n");
+            CHECK_TEXT(hasFirst || hasNothing || hasEnded || (broken.end == answer_end::Reset && answer.find("stray") == std::string::npos), item.condition);
+        }
+    }
+}
