A body that is cut inside the head of a second response is not forwarded; the search is linear

A scanner now reads the body once, as it arrives, keeps at most a head, and tells at the end whether the body runs into a second response: an endpoint's head inside it, header lines up to its end, or a status line begun in the body that the surplus bytes continue. A connection whose response counts as broken is not reused.

--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -8,6 +8,7 @@
 #include "Gateway/CallerSession.h"
 #include "Gateway/EndpointChannel.h"
 #include "Gateway/EventStream.h"
+#include "Gateway/ResponseBoundary.h"
 #include "Gateway/WireFormat.h"
 #include "Quarantine/CrashEvidence.h"
 #include "Quota/Quota.h"
@@ -32,6 +33,7 @@
     bool isConnectionReused { false };
     response_facts response;
     std::string body; ///< Body of a response that is not streamed.
+    boundary_scanner boundary; ///< Of that body.
     event_reader events; ///< Of a response that is streamed.
     bool isForOtherRequest { false }; ///< The response carries the attempt id of another request.
     bool hasEvents { false }; ///< The response is a stream of server-sent events.
--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -177,7 +177,7 @@
     if (m_isClosed || !m_isActive)
         return;
     if (m_parser->is_done())
-        return finish(exchange_end::Complete);
+        return endBody();
     m_parser->get().body().data = m_chunk.data();
     m_parser->get().body().size = m_chunk.size();
     m_parser->get().body().more = true;
@@ -196,6 +196,32 @@
     });
 }
 
+void endpoint_channel::endBody()
+{
+    const bool mayWait = m_buffer.size() == 0 && !m_parser->need_eof() && m_events.surplusWait;
+    const std::chrono::milliseconds wait = mayWait ? m_events.surplusWait() : std::chrono::milliseconds(0);
+    if (wait.count() == 0)
+        return finish(exchange_end::Complete);
+    const auto end = [self = shared_from_this(), exchange = m_exchanges](const error_code& error) {
+        if (error || self->m_isClosed || !self->m_isActive || exchange != self->m_exchanges)
+            return;
+        self->readSurplus();
+        self->finish(exchange_end::Complete);
+    };
+    m_timer.expires_after(wait);
+    m_timer.async_wait(end);
+    m_socket.async_wait(tcp::socket::wait_read, end);
+}
+
+void endpoint_channel::readSurplus()
+{
+    if (peekInput() != pending_input::Bytes)
+        return;
+    error_code error;
+    const size_t size = m_socket.read_some(m_buffer.prepare(m_chunk.size()), error);
+    m_buffer.commit(size);
+}
+
 void endpoint_channel::finish(exchange_end end)
 {
     if (!m_isActive)
@@ -204,6 +230,8 @@
     m_timer.cancel();
     exchange_result result { end };
     result.hasSurplusBytes = end == exchange_end::Complete && m_buffer.size() > 0;
+    if (result.hasSurplusBytes)
+        result.surplus.assign(static_cast<const char*>(m_buffer.data().data()), m_buffer.size());
     result.isReusable = end == exchange_end::Complete && !result.hasSurplusBytes && m_isWriteDone && m_parser->keep_alive();
     if (!result.isReusable)
         cancel();
--- a/Source/Core/Gateway/EndpointChannel.h
+++ b/Source/Core/Gateway/EndpointChannel.h
@@ -36,6 +36,7 @@
     exchange_end end { exchange_end::Broken };
     bool isReusable { false }; ///< The connection may carry another exchange.
     bool hasSurplusBytes { false }; ///< The endpoint sent more than the response.
+    std::string surplus {}; ///< The beginning of that.
 };
 
 /// How the end of a response's body is marked.
@@ -62,6 +63,8 @@
     std::function<bool(const response_head& head)> onHead;
     /// Bytes of the body. @return false to abort the exchange.
     std::function<bool(std::string_view bytes)> onBytes;
+    /// Asked when the response is complete. @return how long to wait for surplus bytes; zero if none matter.
+    std::function<std::chrono::milliseconds()> surplusWait {};
     /// Called once, as the last callback, unless the channel is cancelled.
     std::function<void(const exchange_result& result)> onEnd;
 };
@@ -112,6 +115,8 @@
     };
     pending_input peekInput();
     void readBody();
+    void endBody();
+    void readSurplus();
     void finish(exchange_end end);
 
     std::string m_address;
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -17,7 +17,6 @@
 #include "Gateway/PathMonitor.h"
 #include "Gateway/Placement.h"
 #include "Gateway/Relay.h"
-#include "Gateway/ResponseBoundary.h"
 
 #include <algorithm>
 #include <atomic>
@@ -379,6 +378,10 @@
             proxied_call* activeCall = find(session, id);
             return activeCall && handleBytes(*activeCall, bytes);
         };
+        events.surplusWait = [this, session, id] {
+            const proxied_call* activeCall = find(session, id);
+            return activeCall && !activeCall->currentAttempt->hasEvents ? surplusWait(activeCall->currentAttempt->boundary) : milliseconds(0);
+        };
         events.onEnd = [this, session, id](const exchange_result& result) {
             proxied_call* activeCall = find(session, id);
             if (activeCall)
@@ -414,6 +417,7 @@
         if (!current.isStartRecorded)
             recordStart(call);
         if (!current.hasEvents) {
+            scanBody(current.boundary, bytes, settings.wire);
             current.body += bytes;
             return current.body.size() <= call.catalog->limits.bodyBytes;
         }
@@ -460,15 +464,16 @@
     void handleEnd(proxied_call& call, const exchange_result& result)
     {
         attempt& current = *call.currentAttempt;
-        if (result.hasSurplusBytes || current.isForOtherRequest)
-            channels.distrust(current.placement.address);
-        if (result.isReusable)
-            channels.release(current.placement.address, current.channel, current.response.keepAlive);
         attempt_end outcome = classify(call, result.end);
-        if (!current.hasEvents && findResponseHead(current.body, settings.wire)) {
+        const bool isCutInHead = current.framing == body_framing::ConnectionEnd && endsInsideHead(current.boundary);
+        if (!current.hasEvents && (isCutInHead || runsIntoResponse(current.boundary, result.surplus))) {
             logSecondResponse(call);
             outcome = attempt_end::Broken;
         }
+        if (result.hasSurplusBytes || current.isForOtherRequest)
+            channels.distrust(current.placement.address);
+        if (result.isReusable && outcome != attempt_end::Broken)
+            channels.release(current.placement.address, current.channel, current.response.keepAlive);
         if (outcome != attempt_end::NotSent && outcome != attempt_end::NotRun && !current.isStartRecorded)
             recordStart(call);
         recordAttemptEnd(call, outcome);
--- a/Tests/Platform/ForeignAnswersTest.cpp
+++ b/Tests/Platform/ForeignAnswersTest.cpp
@@ -165,3 +165,57 @@
         }
     }
 }
+
+TEST(ForeignAnswers, ABodyThatIsCutInsideASecondHeadIsNotForwardedAsWhole)
+{
+    const std::string body(60, 'b');
+    struct row {
+        const char* condition;
+        std::string secondHead; ///< Its beginning is the end of the body.
+    };
+    const std::string ownHead = headOf(200, "id7") + seal;
+    const row rows[] = {
+        { "a copy", ownHead + "Content-Length: 60\r\n\r\n" },
+        { "a refusal", headOf(503, "id7") + notExecuted + "Content-Length: 60\r\n\r\n" },
+        { "a head that names nobody", "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 60\r\n\r\n" },
+    };
+    for (const row& item : rows) {
+        for (size_t cut = 1; cut <= item.secondHead.size(); cut += 3) {
+            const std::string condition = std::string(item.condition) + ", " + std::to_string(cut) + " bytes";
+            const std::string torn = answerHead + "Content-Length: " + std::to_string(20 + cut) + "\r\n\r\n" + body.substr(0, 20) + item.secondHead + body;
+            running_gateway gateway({ { { torn } }, { { completeAnswer } } });
+            raw_caller caller(gateway.port);
+            caller.send(makeRequest("/once/x"));
+            const std::string answer = caller.receive();
+            CHECK_EQUAL_TEXT(502, statusOf(answer), condition.c_str());
+            CHECK_EQUAL_TEXT(1, gateway.arrivals(), condition.c_str());
+        }
+    }
+}
+
+TEST(ForeignAnswers, ABodyThatHoldsTextOfAHeadIsForwardedUnchanged)
+{
+    struct row {
+        const char* condition;
+        std::string body;
+        std::string surplus; ///< A response of its own after the body.
+    };
+    const std::string copy = answerHead + "Content-Length: 5\r\n\r\nhello";
+    const row rows[] = {
+        { "a head in the middle", "see HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "" },
+        { "a status line in the middle", "HTTP/1.1 200 OK is what it said", "" },
+        { "the first letter of a head at the end", "GOOD BATCH", "" },
+        { "the first letter of a head at the end, then a copy", "GOOD BATCH", copy },
+        { "the version at the end", "it speaks HTTP/1.1", "" },
+        { "a copy after it", "hello", copy },
+        { "many status lines", [] { std::string lines; for (int line = 0; line < 40'000; ++line) lines += "HTTP/1.1 200 OK\r\n"; return lines + "\r\nend"; }(), "" },
+    };
+    for (const row& item : rows) {
+        running_gateway gateway({ { { answerHead + "Content-Length: " + std::to_string(item.body.size()) + "\r\n\r\n" + item.body + item.surplus } } });
+        raw_caller caller(gateway.port);
+        caller.send(makeRequest("/once/x"));
+        const std::string answer = caller.receive();
+        CHECK_EQUAL_TEXT(200, statusOf(answer), item.condition);
+        CHECK_TEXT(answer.ends_with("\r\n\r\n" + item.body), item.condition);
+    }
+}
