A leaving node answers what it can't finish, and doesn't spin on its closed listener

At 0.96 of the grace period requests in progress ended with a closed connection; they are now answered as expired at 0.93 (503 if nothing was sent to an endpoint, else 504; begun streams are cut), and the rest of the time is for closing. An accept that completed just before the listener closed armed the next one on a closed socket, which failed at once and without end.

--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -130,6 +130,8 @@
                 return;
             if (!error)
                 startSession(std::move(socket));
+            else if (!acceptor.is_open())
+                return;
             else
                 Common::logEvent(Common::log_level::Warning, "accept_failed", { { "problem", error.message() } });
             accept();
@@ -734,10 +736,24 @@
         leaving.start({ [this] { return remaining_work { calls.size(), sessions.size() }; },
             [this] { callIfSet(outlets.stoppedAccepting); },
             [this] { closeListener(); },
+            [this] { expireAll(); },
             [this] { closeIdleSessions(); },
             [this] { callIfSet(outlets.leaveEnded); } });
     }
 
+    /// Answers all requests in progress as if their time had passed.
+    void expireAll()
+    {
+        std::vector<std::pair<caller_session*, call_id>> open;
+        for (const auto& [session, call] : calls)
+            open.emplace_back(session, call->id);
+        for (const auto& [session, id] : open) {
+            proxied_call* call = find(session, id);
+            if (call)
+                expire(*call);
+        }
+    }
+
     void closeIdleSessions()
     {
         for (const caller_session_pointer& session : std::vector<caller_session_pointer>(sessions.begin(), sessions.end()))
--- a/Source/Core/Gateway/Leaving.cpp
+++ b/Source/Core/Gateway/Leaving.cpp
@@ -9,7 +9,9 @@
 
     /// Callers may use a directory answer for up to three times its lifetime.
     constexpr double acceptingShareOfGrace = 0.75;
-    /// What is in progress may take this share of the grace period; the rest is for ending the process.
+    /// Requests in progress may take this share of the grace period; what hasn't ended then is answered as expired.
+    constexpr double lastRequestShareOfGrace = 0.93;
+    /// Connections may be closed until then; the rest is for ending the process.
     constexpr double lastShareOfGrace = 0.96;
     constexpr milliseconds checkInterval { 10 };
 
@@ -32,10 +34,11 @@
 
 leaving_phase nextPhase(leaving_phase phase, const remaining_work& work, milliseconds elapsed, milliseconds grace)
 {
+    const bool isLastForRequests = elapsed >= grace * lastRequestShareOfGrace;
     const bool isLast = elapsed >= grace * lastShareOfGrace;
     if (phase == leaving_phase::Accepting && elapsed >= grace * acceptingShareOfGrace)
         return leaving_phase::Refusing;
-    if (phase == leaving_phase::Refusing && (isLast || work.requests == 0))
+    if (phase == leaving_phase::Refusing && (isLastForRequests || work.requests == 0))
         return leaving_phase::Closing;
     if (phase == leaving_phase::Closing && (isLast || work.connections == 0))
         return leaving_phase::Ended;
@@ -78,8 +81,10 @@
     Common::logEvent(Common::log_level::Info, "leaving_phase_begun", { { "phase", nameOf(phase) }, { "requests", work.requests }, { "connections", work.connections } });
     if (phase == leaving_phase::Refusing)
         m_actions.stopAccepting();
-    if (phase == leaving_phase::Closing)
+    if (phase == leaving_phase::Closing) {
         m_actions.closeListener();
+        m_actions.expireRequests();
+    }
     if (phase == leaving_phase::Ended)
         m_actions.end();
 }
--- a/Source/Core/Gateway/Leaving.h
+++ b/Source/Core/Gateway/Leaving.h
@@ -43,6 +43,7 @@
     std::function<remaining_work()> measure;
     std::function<void()> stopAccepting; ///< The phase Refusing begins.
     std::function<void()> closeListener; ///< Takes the connections that wait to be accepted, and no later ones.
+    std::function<void()> expireRequests; ///< Answers what is still in progress when its time is over.
     std::function<void()> closeIdleConnections;
     std::function<void()> end;
 };
--- a/Source/Core/Gateway/Tests/LeavingTest.cpp
+++ b/Source/Core/Gateway/Tests/LeavingTest.cpp
@@ -22,9 +22,9 @@
     const row rows[] = {
         { "idle, early", leaving_phase::Accepting, { 0, 0 }, 5900, leaving_phase::Accepting },
         { "busy, accepting is over", leaving_phase::Accepting, { 3, 5 }, 6000, leaving_phase::Refusing },
-        { "busy, refusing", leaving_phase::Refusing, { 1, 5 }, 7600, leaving_phase::Refusing },
+        { "busy, refusing", leaving_phase::Refusing, { 1, 5 }, 7400, leaving_phase::Refusing },
         { "requests ended", leaving_phase::Refusing, { 0, 5 }, 6100, leaving_phase::Closing },
-        { "busy, no time left", leaving_phase::Refusing, { 1, 5 }, 7700, leaving_phase::Closing },
+        { "busy, no time left", leaving_phase::Refusing, { 1, 5 }, 7450, leaving_phase::Closing },
         { "connections open", leaving_phase::Closing, { 0, 1 }, 7600, leaving_phase::Closing },
         { "a request arrived late", leaving_phase::Closing, { 1, 1 }, 6200, leaving_phase::Closing },
         { "all closed", leaving_phase::Closing, { 0, 0 }, 6200, leaving_phase::Ended },
--- a/Tests/Platform/PlannedStopsTest.cpp
+++ b/Tests/Platform/PlannedStopsTest.cpp
@@ -56,7 +56,7 @@
     request_shape shape;
     size_t callers { 8 };
     milliseconds answerTime { 40 };
-    int graceSeconds { 2 };
+    int graceSeconds { 4 };
     size_t slots { 1000 };
 };
 
