A stopped node's process ends at once, without destructors

All threads have ended by then (duty_stopped); what holds the process lies in destructors or static destruction and isn't found. After the threads have been joined and the logs flushed nothing is left to do, so the process exits without them.

--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -499,7 +499,8 @@
     Common::logEvent(Common::log_level::Info, "node_stopped", { { "signal", signal }, { "failed", node.hasFailed() } });
     node.stop();
     Common::flushLogs();
-    return node.hasFailed() ? exitFailedToStart : exitOk;
+    // All threads have ended; the end of libraries' own threads would only delay the next start.
+    std::_Exit(node.hasFailed() ? exitFailedToStart : exitOk);
 }
 
 } // namespace Filbertreeld
