Quota: nodes that were killed together need not settle, as the list of nodes is whole

Cause: a node that was started anew settles for a second, since nodes that were all stopped have removed their rows and may know too few of each other. After a kill the rows are still there. Change: a node whose first list has the row of its own earlier process takes the list for whole and doesn't settle.

--- a/Source/Core/Gateway/GatewayState.cpp
+++ b/Source/Core/Gateway/GatewayState.cpp
@@ -73,6 +73,7 @@
 
 void applyMessage(gateway_state& state, const peers_update& message, Common::instant now)
 {
+    state.quota.knowsWholeFleet = state.quota.knowsWholeFleet || message.isWholeFleet;
     Quota::setPeers(state.quota, message.peers, now);
     state.quarantine.peers = message.peers;
     state.endpointLimits.peers = message.peers;
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -32,6 +32,8 @@
 /// The other nodes that may be serving requests.
 struct peers_update {
     std::set<Common::node_id> peers;
+    /// The list has the row of this node's earlier process: that one was killed, and all nodes' rows stayed.
+    bool isWholeFleet { false };
 };
 
 /// Another node's report of what it has granted to client accounts.
--- a/Source/Core/Quota/LeaseOwners.cpp
+++ b/Source/Core/Quota/LeaseOwners.cpp
@@ -68,7 +68,7 @@
 
 bool isSettled(const quota_state& state, Common::instant now)
 {
-    return !state.startsEmpty || now - state.peersKnownSince >= settlingTime;
+    return !state.startsEmpty || state.knowsWholeFleet || now - state.peersKnownSince >= settlingTime;
 }
 
 void updateOwners(quota_state& state, Common::instant now)
--- a/Source/Core/Quota/Quota.h
+++ b/Source/Core/Quota/Quota.h
@@ -97,6 +97,7 @@
     std::map<Common::node_id, peer_state> peers; ///< The other nodes that may currently grant.
     bool arePeersKnown { true }; ///< Before setPeers() nothing is granted if not set.
     Common::instant peersKnownSince;
+    bool knowsWholeFleet { false }; ///< The peers are known to be complete.
     Common::instant reportedAt; ///< Time of this node's last report.
     milliseconds peerReportTimeout { 900 }; ///< A peer without a report for longer counts as silent.
     bool startsEmpty { false }; ///< New buckets start at zero, as the burst may have been used up before a restart.
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -223,8 +223,10 @@
             knownPeers.peers.insert(id);
             seeds.peerAddresses.push_back(entry.peerAddress);
         }
+        const auto own = listedNodes.find(facts.node);
+        knownPeers.isWholeFleet = own != listedNodes.end() && own->second.incarnation != incarnation;
         // A list without this node's own row was read before the nodes registered, or from a restored store.
-        if (listedNodes.contains(facts.node) || isLeaving)
+        if (own != listedNodes.end() || isLeaving)
             static_cast<void>(gateway.submit(std::move(knownPeers)));
         static_cast<void>(peers.submit(std::move(seeds)));
         const std::lock_guard guard(nodesMutex);
