A response that ends inside its head is no complete response of the client

What callers saw (report of another operator): an engine stopped in the middle of its answer's head and closed; clients got a 200 with an empty body, framed as whole. On our own interface this could happen: libcurl 7.88 takes the end of the connection for the end of a head that has neither Content-Length nor chunks yet, and returns CURLE_OK with status 200. A service call was then answered and recorded as done with an empty body.

Cause: Http::client reported "complete" for CURLE_OK alone. It now sees each head line, and a transfer is complete only if the final head's blank line has come; else it is cut, so that calls end as unknown and model work goes on elsewhere. The same client reads the store, the platform's API and endpoints' state.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -24,6 +24,8 @@
         std::string body;
         uint64_t received { 0 };
         bool isPaused { false };
+        bool isHeadInformational { false }; ///< Of the head that arrives.
+        bool isHeadComplete { false }; ///< The final response's head has arrived with its blank line.
 
         ~transfer()
         {
@@ -50,6 +52,27 @@
         return count;
     }
 
+    void handleHeadLine(transfer& item, std::string_view line)
+    {
+        constexpr std::string_view statusLineStart = "HTTP/";
+        constexpr long firstFinalStatus = 200;
+        if (item.isHeadComplete)
+            return;
+        if (line.starts_with(statusLineStart)) {
+            long status = 0;
+            curl_easy_getinfo(item.handle, CURLINFO_RESPONSE_CODE, &status);
+            item.isHeadInformational = status < firstFinalStatus;
+        }
+        const bool isBlank = line == "\r\n" || line == "\n";
+        item.isHeadComplete = isBlank && !item.isHeadInformational;
+    }
+
+    size_t receiveHeadLine(char* bytes, size_t, size_t count, void* userData)
+    {
+        handleHeadLine(*static_cast<transfer*>(userData), { bytes, count });
+        return count;
+    }
+
     std::vector<header> readHeaders(CURL* handle)
     {
         constexpr int lastResponse = -1;
@@ -84,6 +107,8 @@
         curl_easy_setopt(item.handle, CURLOPT_PRIVATE, &item);
         curl_easy_setopt(item.handle, CURLOPT_WRITEFUNCTION, receiveBytes);
         curl_easy_setopt(item.handle, CURLOPT_WRITEDATA, &item);
+        curl_easy_setopt(item.handle, CURLOPT_HEADERFUNCTION, receiveHeadLine);
+        curl_easy_setopt(item.handle, CURLOPT_HEADERDATA, &item);
         curl_easy_setopt(item.handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(item.handle, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(item.handle, CURLOPT_PROXY, "");
@@ -97,16 +122,17 @@
         setHeaders(item);
     }
 
-    transfer_end classify(CURL* handle, CURLcode code)
+    transfer_end classify(const transfer& item, CURLcode code)
     {
+        // libcurl takes the end of the connection for the end of a head without Content-Length.
         if (code == CURLE_OK)
-            return transfer_end::Complete;
+            return item.isHeadComplete ? transfer_end::Complete : transfer_end::Cut;
         if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT)
             return transfer_end::NotSent;
         if (code != CURLE_OPERATION_TIMEDOUT)
             return transfer_end::Cut;
         curl_off_t connectTime = 0;
-        curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connectTime);
+        curl_easy_getinfo(item.handle, CURLINFO_CONNECT_TIME_T, &connectTime);
         return connectTime == 0 ? transfer_end::NotSent : transfer_end::TimedOut;
     }
 
@@ -229,7 +255,7 @@
         transfer* item = nullptr;
         curl_easy_getinfo(handle, CURLINFO_PRIVATE, &item);
         transfer_answer answer;
-        answer.end = classify(handle, code);
+        answer.end = classify(*item, code);
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &answer.status);
         answer.headers = readHeaders(handle);
         answer.wireBytes = countBytes(handle);
