Quotas: no node that leaves or was just started owns accounts while others can

Cause: a node that was just started took itself for the owner of its accounts at once, but answers nobody before it has known the others for a second, so that its own requests and those of other new nodes waited 400 ms for nothing; others asked it too, at a quarter of the rate. Nobody took over early from a node that leaves. The log lines account_limited name the node itself as the owner, peers_known 1, in_hand 0 in all of them.

Change: owners are ranked among the nodes that neither leave nor were listed within the last second, if there are any. If there are none, each new node grants the part of the rate that is its share of the fleet's size; the size comes with the lease's row, which outlasts a restart of all nodes (rows of older builds have none: as before). The node ranked next is asked after three usual answer times (250 to 700 ms) in place of 700 ms. The simulation draws whole tokens, as requests have.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -48,6 +48,7 @@
     usage_relay usageRelay { context, outlets, usage };
     std::string catalogText; ///< The catalog in the platform's format, for peers that can't reach the store.
     bool wasHolder { false };
+    uint64_t publishedFleetSize { 0 };
     rollout_runner rollouts { context, outlets };
 
     // --- Watched tables
@@ -141,6 +142,7 @@
     void nodeRowsChanged()
     {
         readNodeRows(nodeRows);
+        context.lease.knownNodes = context.nodes.size();
         relay.ranking = rankRelays(context.nodes, context.settings.self.zone);
         updateCallIntervals();
         perform(rollouts, evaluate(rollouts.tracker, Rollout::node_count_changed { context.nodes.size() }, Common::bootClockNow()));
@@ -271,10 +273,20 @@
             : context.settings.calls.transaction(context.storeAddress(), std::get<Store::transaction>(*next));
         context.call(std::move(request), [this](const Store::rows_answer& answer) {
             Lease::handleAnswer(context.lease, answer, Common::bootClockNow());
+            publishFleetSize();
             handleHolderChange();
         });
     }
 
+    void publishFleetSize()
+    {
+        const uint64_t nodes = context.lease.lastSeen ? context.lease.lastSeen->nodes : 0;
+        if (nodes == 0 || nodes == publishedFleetSize)
+            return;
+        publishedFleetSize = nodes;
+        outlets.sendToGateway(Gateway::fleet_size_update { nodes });
+    }
+
     void handleHolderChange()
     {
         if (context.lease.isHeld == wasHolder)
--- a/Source/Core/Gateway/GatewayState.cpp
+++ b/Source/Core/Gateway/GatewayState.cpp
@@ -75,12 +75,18 @@
 {
     state.quota.knowsWholeFleet = state.quota.knowsWholeFleet || message.isWholeFleet;
     Quota::setPeers(state.quota, message.peers, now);
+    Quota::setLeaving(state.quota, message.leaving, now);
     state.quarantine.peers = message.peers;
     state.endpointLimits.peers = message.peers;
     state.serviceRetries.nodes = message.peers.size() + 1;
     state.quota.peerReportTimeout = missedReports * currentReportInterval(state) + reportSlack;
 }
 
+void applyMessage(gateway_state& state, const fleet_size_update& message, Common::instant)
+{
+    state.quota.expectedNodes = message.nodes;
+}
+
 void applyMessage(gateway_state& state, const grants_received& message, Common::instant now)
 {
     Quota::applyReport(state.quota, message.report, now);
--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -52,6 +52,7 @@
 void applyMessage(gateway_state& state, const catalog_update& message, Common::instant now);
 void applyMessage(gateway_state& state, const endpoints_update& message, Common::instant now);
 void applyMessage(gateway_state& state, const peers_update& message, Common::instant now);
+void applyMessage(gateway_state& state, const fleet_size_update& message, Common::instant now);
 void applyMessage(gateway_state& state, const grants_received& message, Common::instant now);
 void applyMessage(gateway_state& state, const version_share_update& message, Common::instant now);
 void applyMessage(gateway_state& state, const quarantine_statement_received& message, Common::instant now);
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -34,6 +34,12 @@
     std::set<Common::node_id> peers;
     /// The list has the row of this node's earlier process: that one was killed, and all nodes' rows stayed.
     bool isWholeFleet { false };
+    std::set<Common::node_id> leaving {}; ///< Those that leave; may contain this node.
+};
+
+/// How many nodes the fleet had lately, those that are being restarted included.
+struct fleet_size_update {
+    size_t nodes { 0 };
 };
 
 /// Another node's report of what it has granted to client accounts.
@@ -88,7 +94,7 @@
 /// This node starts to leave the cluster and drains its requests.
 struct leave_started { };
 
-using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, grants_received, version_share_update, quarantine_statement_received, quarantines_read, endpoint_limit_received, lease_received, relay_peers_update, leave_started>;
+using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, fleet_size_update, grants_received, version_share_update, quarantine_statement_received, quarantines_read, endpoint_limit_received, lease_received, relay_peers_update, leave_started>;
 
 /// The start or end of an attempt, from which a rollout evaluates the version.
 struct attempt_report {
--- a/Source/Core/Lease/Lease.cpp
+++ b/Source/Core/Lease/Lease.cpp
@@ -2,6 +2,8 @@
 
 #include "Common/Json.h"
 
+#include <algorithm>
+
 namespace Lease {
 
 namespace {
@@ -13,6 +15,8 @@
     constexpr milliseconds retryDelay { 250 };
     /// A holder writes the row anew within its lease. An unchanged row is over after this, whatever it states.
     constexpr milliseconds longestLease { 60000 };
+    /// A holder gives up its predecessors' count of nodes after this time.
+    constexpr milliseconds nodeCountMemory { 60000 };
     /// Position of the era in a fencing token.
     constexpr uint32_t eraShift = 40;
 
@@ -42,6 +46,14 @@
         return !state.lastSeen || now - state.versionSeenAt > longestLease || earliestStoreTime(state.clock, now).value - clockTolerance.count() > state.lastSeen->until.value;
     }
 
+    /// @return the number of nodes to write: those that are being restarted count.
+    uint64_t nodesToWrite(const lease_state& state, Common::instant now)
+    {
+        const bool isLongHeld = state.isHeld && now - state.heldSince > nodeCountMemory;
+        const uint64_t seen = state.lastSeen && !isLongHeld ? state.lastSeen->nodes : 0;
+        return std::max(state.knownNodes, seen);
+    }
+
     lease_call makeClaim(lease_state& state, Common::instant now)
     {
         lease_record record;
@@ -49,6 +61,7 @@
         record.until = { earliestStoreTime(state.clock, now).value + state.settings.duration.count() };
         record.nonce = ++state.lastNonce;
         record.era = state.era;
+        record.nodes = nodesToWrite(state, now);
         state.claimed = record;
         Store::transaction claim;
         claim.conditions.push_back({ leaseRow(), state.version });
@@ -78,9 +91,12 @@
 
     void updateOwnership(lease_state& state)
     {
+        const bool wasHeld = state.isHeld;
         state.isHeld = isOwnClaim(state) && !state.mustRenew;
         if (!state.isHeld)
             return;
+        if (!wasHeld)
+            state.heldSince = state.clock.receivedAt;
         state.fence = makeFence(state.era, state.version);
         state.heldUntil = earliestLocalTime(state.clock, state.lastSeen->until);
     }
@@ -203,7 +219,7 @@
 
 std::string encodeRecord(const lease_record& record)
 {
-    return nlohmann::json { { "holder", record.holder.value }, { "until", record.until.value }, { "nonce", record.nonce }, { "era", record.era.value } }.dump();
+    return nlohmann::json { { "holder", record.holder.value }, { "until", record.until.value }, { "nonce", record.nonce }, { "era", record.era.value }, { "nodes", record.nodes } }.dump();
 }
 
 std::optional<lease_record> decodeRecord(const std::string& text)
@@ -211,7 +227,13 @@
     const nlohmann::json body = Common::parseJson(text);
     if (!Common::memberOf(body, "holder").is_string() || !Common::isIntegerOf<int64_t>(Common::memberOf(body, "until")))
         return {};
-    return lease_record { { Common::textMember(body, "holder") }, { Common::integerMember<int64_t>(body, "until") }, Common::integerMember<uint64_t>(body, "nonce"), { Common::integerMember<uint64_t>(body, "era") } };
+    lease_record record;
+    record.holder = { Common::textMember(body, "holder") };
+    record.until = { Common::integerMember<int64_t>(body, "until") };
+    record.nonce = Common::integerMember<uint64_t>(body, "nonce");
+    record.era = { Common::integerMember<uint64_t>(body, "era") };
+    record.nodes = Common::integerMember<uint64_t>(body, "nodes");
+    return record;
 }
 
 } // namespace Lease
--- a/Source/Core/Lease/Lease.h
+++ b/Source/Core/Lease/Lease.h
@@ -38,6 +38,7 @@
     Store::store_time until; ///< End of the lease.
     uint64_t nonce { 0 }; ///< Identifies the write, so that the writer recognises it when the answer was lost.
     Store::store_era era; ///< Known to the holder when it wrote the row.
+    uint64_t nodes { 0 }; ///< How many nodes the holders have known lately; zero if unknown.
 };
 
 /// A reading of the store's clock, taken at an unknown time between the two local instants.
@@ -59,6 +60,8 @@
     bool isHeld { false };
     fencing_token fence;
     Common::instant heldUntil; ///< Earliest local time at which the lease may end.
+    Common::instant heldSince;
+    uint64_t knownNodes { 0 }; ///< How many nodes this node knows, itself included.
     lease_record claimed; ///< Content that the last write puts into the row.
     uint64_t lastNonce { 0 }; ///< Starts at a random number, so that two processes don't use the same nonce.
     bool isCalling { false }; ///< A call to the store is in progress.
--- a/Source/Core/Lease/Tests/LeaseTest.cpp
+++ b/Source/Core/Lease/Tests/LeaseTest.cpp
@@ -327,3 +327,35 @@
     const lease_record record { { "n" }, { 42 }, 7 };
     CHECK(decodeRecord(encodeRecord(record))->until == record.until);
 }
+
+TEST(Lease, TheCountOfNodesOutlastsARestartOfAllOfThem)
+{
+    struct row {
+        const char* condition;
+        uint64_t seen; ///< In the row of the holder before.
+        uint64_t known;
+        int64_t heldForMs;
+        uint64_t expected;
+    };
+    const row rows[] = {
+        { "first holder", 0, 3, 0, 3 },
+        { "fewer known than before", 7, 1, 0, 7 },
+        { "more known than before", 3, 7, 0, 7 },
+        { "fewer known, held for a minute", 7, 3, 60001, 3 },
+    };
+    for (const row& item : rows) {
+        lease_state node;
+        node.settings.self = { "n" };
+        node.mustRead = false;
+        node.lastSeen = lease_record { { "n" }, { 0 }, 0, {}, item.seen };
+        node.knownNodes = item.known;
+        node.isHeld = item.heldForMs > 0;
+        node.heldSince = at(1000);
+        node.heldUntil = at(1000 + item.heldForMs + 1000);
+        const auto claim = nextCall(node, at(1000 + item.heldForMs));
+        CHECK_TEXT(claim.has_value() && std::holds_alternative<Store::transaction>(*claim), item.condition);
+        const auto written = decodeRecord(std::get<Store::transaction>(*claim).writes.front().value);
+        CHECK_TEXT(written.has_value(), item.condition);
+        CHECK_EQUAL_TEXT(item.expected, written->nodes, item.condition);
+    }
+}
--- a/Source/Core/Quota/LeaseOwners.h
+++ b/Source/Core/Quota/LeaseOwners.h
@@ -10,6 +10,9 @@
 /// Determines the owners of all accounts anew; a bucket is kept only while this node's part in it stays the same.
 void updateOwners(quota_state& state, Common::instant now);
 
+/// The same if a node that was listed lately may own accounts from now on.
+void refreshOwners(quota_state& state, Common::instant now);
+
 /// @return whether this node may rely on the peers that it knows; false shortly after it was started anew.
 bool isSettled(const quota_state& state, Common::instant now);
 
--- a/Source/Core/Quota/Quota.cpp
+++ b/Source/Core/Quota/Quota.cpp
@@ -15,8 +15,12 @@
     /// An ask that isn't answered within this time may be repeated.
     constexpr milliseconds askTimeout { 200 };
     constexpr size_t maxUnansweredAsks = 8;
-    /// Without an answer of the owner for this time the node ranked next is asked as well.
-    constexpr milliseconds ownerTimeout { 700 };
+    /// Without an answer of the owner for a multiple of the usual time, within bounds, the node ranked next is asked as well.
+    constexpr milliseconds minOwnerTimeout { 250 };
+    constexpr milliseconds maxOwnerTimeout { 700 };
+    constexpr int answerTimesPerTimeout = 3;
+    /// Weight of the latest answer in the moving average of answer times.
+    constexpr int answerTimeWeight = 8;
     /// Time between two asks for an account at its limit; grows with the number of nodes, all of which may ask.
     constexpr milliseconds minLimitedInterval { 50 };
     constexpr milliseconds maxLimitedInterval { 1000 };
@@ -96,6 +100,19 @@
         return lease.asks.empty() || now - lease.asks.back().sentAt >= askTimeout;
     }
 
+    void recordAnswerTime(account_lease& lease, Common::duration sample)
+    {
+        const bool isFirst = lease.answerTime == Common::duration::zero();
+        lease.answerTime = isFirst ? sample : lease.answerTime + (sample - lease.answerTime) / answerTimeWeight;
+    }
+
+    Common::duration ownerTimeout(const account_lease& lease)
+    {
+        if (lease.answerTime == Common::duration::zero())
+            return maxOwnerTimeout;
+        return std::clamp<Common::duration>(answerTimesPerTimeout * lease.answerTime, minOwnerTimeout, maxOwnerTimeout);
+    }
+
     /// @return whether the answer is to an ask that is still open, so that the lease has changed.
     bool applyAnswer(quota_state& state, const Common::node_id& from, const lease_answer& answer, Common::instant now)
     {
@@ -108,6 +125,7 @@
         const auto ask = std::find_if(lease.asks.begin(), lease.asks.end(), [&answer](const unanswered_ask& item) { return item.sequence == answer.sequence; });
         if (ask == lease.asks.end())
             return false;
+        recordAnswerTime(lease, now - ask->sentAt);
         lease.credited = answer.credited;
         lease.settled = ask->used;
         lease.usableUntil = ask->sentAt + leaseLife;
@@ -149,7 +167,7 @@
             lease.overdraftSequence = ask.sequence;
         if (!lease.unansweredSince)
             lease.unansweredSince = now;
-        const bool isOwnerSilent = now - *lease.unansweredSince >= ownerTimeout;
+        const bool isOwnerSilent = now - *lease.unansweredSince >= ownerTimeout(lease);
         post(state, lease.owners.owner, ask, now);
         if (isOwnerSilent && !lease.owners.backup.value.empty())
             post(state, lease.owners.backup, ask, now);
@@ -229,19 +247,31 @@
 void setPeers(quota_state& state, const std::set<Common::node_id>& peers, Common::instant now)
 {
     const bool hasFoundOthers = state.peers.empty() && !peers.empty();
-    if (!state.arePeersKnown || state.peersKnownSince == Common::instant() || hasFoundOthers)
+    const bool isFirstView = !state.arePeersKnown || state.peersKnownSince == Common::instant();
+    // A node that has just been started can't tell which of the others have been as well.
+    const Common::instant listedSince = isFirstView || !isSettled(state, now) ? Common::instant() : now;
+    if (isFirstView || hasFoundOthers)
         state.peersKnownSince = now;
     state.arePeersKnown = true;
     for (const Common::node_id& id : peers)
-        state.peers.try_emplace(id, peer_state { {}, now });
+        state.peers.try_emplace(id, peer_state { {}, now, true, listedSince });
     std::erase_if(state.peers, [&peers](const auto& entry) { return !peers.contains(entry.first); });
     for (auto& [id, lease] : state.accounts)
         std::erase_if(lease.reported, [&peers](const auto& entry) { return !peers.contains(entry.first); });
     updateOwners(state, now);
 }
 
+void setLeaving(quota_state& state, const std::set<Common::node_id>& leaving, Common::instant now)
+{
+    state.isLeaving = state.isLeaving || leaving.contains(state.self);
+    for (auto& [id, peer] : state.peers)
+        peer.isLeaving = leaving.contains(id);
+    updateOwners(state, now);
+}
+
 grant tryConsume(quota_state& state, const Common::account_id& account, double amount, Common::instant now)
 {
+    refreshOwners(state, now);
     account_lease* lease = findLimited(state, account);
     if (!lease)
         return {};
@@ -297,6 +327,7 @@
 
 bool applyMessage(quota_state& state, const Common::node_id& from, const lease_message& message, Common::instant now)
 {
+    refreshOwners(state, now);
     if (const auto* ask = std::get_if<lease_ask>(&message)) {
         const std::optional<lease_answer> answer = answerForAll(state, from, *ask, now);
         if (answer)
@@ -353,7 +384,9 @@
     const bool isFirst = peer->second.incarnation.value == 0;
     const bool isRestarted = !isFirst && peer->second.incarnation != report.incarnation;
     const bool isChanged = peer->second.isLeasing != report.isLeasing;
-    peer->second = { report.incarnation, now, report.isLeasing };
+    peer->second.incarnation = report.incarnation;
+    peer->second.lastReportAt = now;
+    peer->second.isLeasing = report.isLeasing;
     if (isChanged)
         updateOwners(state, now);
     if (report.isLeasing)
--- a/Source/Core/Quota/Quota.h
+++ b/Source/Core/Quota/Quota.h
@@ -72,6 +72,7 @@
     bool isLimited { false }; ///< As the last answer said.
     double ownerLevel { 0 }; ///< As the last answer said.
     Common::instant answeredAt;
+    Common::duration answerTime { 0 }; ///< Moving average; zero before the first answer.
     milliseconds retryAfter { 0 };
     bool hasOverdraft { false }; ///< Something was granted without a lease, and no owner has answered since.
     uint64_t overdraftSequence { 0 }; ///< Of the first ask that tells the owner of it; zero before.
@@ -86,6 +87,8 @@
     Common::incarnation_number incarnation; ///< Zero before the first report.
     Common::instant lastReportAt; ///< Before the first report: when the peer was added.
     bool isLeasing { true }; ///< As the last report said.
+    Common::instant listedSince {}; ///< Zero if it was listed before this node was settled.
+    bool isLeaving { false };
 };
 
 /// The accounts' leases, the buckets that this node owns, and the peers that share them.
@@ -98,6 +101,9 @@
     bool arePeersKnown { true }; ///< Before setPeers() nothing is granted if not set.
     Common::instant peersKnownSince;
     bool knowsWholeFleet { false }; ///< The peers are known to be complete.
+    size_t expectedNodes { 0 }; ///< How many nodes the fleet had before this node was started; zero if unknown.
+    bool isLeaving { false }; ///< This node leaves.
+    std::optional<Common::instant> nextOwnerChange; ///< When a node that was listed lately may become an owner.
     Common::instant reportedAt; ///< Time of this node's last report.
     milliseconds peerReportTimeout { 900 }; ///< A peer without a report for longer counts as silent.
     bool startsEmpty { false }; ///< New buckets start at zero, as the burst may have been used up before a restart.
@@ -110,6 +116,9 @@
 void setAllowances(quota_state& state, const Catalog::catalog& item, Common::instant now);
 /// Sets the other nodes that may currently grant.
 void setPeers(quota_state& state, const std::set<Common::node_id>& peers, Common::instant now);
+/// Sets which of the nodes leave; they own no account while others can.
+/// @param leaving may contain this node.
+void setLeaving(quota_state& state, const std::set<Common::node_id>& leaving, Common::instant now);
 
 struct grant {
     bool isGranted { true };
--- a/Source/Core/Quota/Tests/FleetSimulation.h
+++ b/Source/Core/Quota/Tests/FleetSimulation.h
@@ -45,6 +45,7 @@
     double lost { 0 }; ///< Part of the messages.
     double doubled { 0 };
     int lateMs { 40 }; ///< Longest delay of a message; the shortest is 40 ms, or this if it is less.
+    const char* account { "clerks" };
 };
 
 struct message_in_transit {
@@ -67,6 +68,7 @@
     milliseconds reportAt { 0 };
     bool isUp { true };
     bool isFrozen { false };
+    bool isRefusing { false }; ///< Callers use other nodes.
     std::deque<waiting_request> waiting; ///< Oldest first.
     int side { 0 }; ///< Nodes of different sides don't hear each other.
 };
@@ -100,7 +102,7 @@
 
     static Common::instant at(milliseconds time) { return Common::instant(std::chrono::hours(1)) + time; }
     static Common::node_id idOf(size_t index) { return { "node-" + std::to_string(index) }; }
-    static Common::account_id account() { return { "clerks" }; }
+    Common::account_id account() const { return { plan.account }; }
 
     Catalog::catalog makeCatalog() const
     {
@@ -126,6 +128,7 @@
         node.state.random = Common::random_source(index + 1000 * node.incarnation);
         node.waiting.clear();
         node.isUp = true;
+        node.isRefusing = false;
         node.state.startsEmpty = !isFirst;
         node.state.reportedAt = at(now);
         node.state.peerReportTimeout = 3 * reportInterval() + milliseconds(150);
@@ -153,7 +156,7 @@
             setAllowances(node.state, makeCatalog(), at(now));
     }
 
-    double drawTokens() { return plan.minTokens + Common::uniformUnit(random) * (plan.maxTokens - plan.minTokens); }
+    double drawTokens() { return plan.minTokens + std::floor(Common::uniformUnit(random) * (plan.maxTokens - plan.minTokens)); }
 
     size_t drawNode()
     {
@@ -252,7 +255,7 @@
 
     void request(milliseconds now, size_t index, double tokens)
     {
-        if (!nodes[index].isUp || nodes[index].isFrozen)
+        if (!nodes[index].isUp || nodes[index].isFrozen || nodes[index].isRefusing)
             return;
         asked[static_cast<size_t>(now / tick)] += tokens;
         const grant decision = tryConsume(nodes[index].state, account(), tokens, at(now));
--- a/Source/Core/Quota/Tests/QuotaFleetTest.cpp
+++ b/Source/Core/Quota/Tests/QuotaFleetTest.cpp
@@ -59,7 +59,7 @@
     std::set<Common::node_id> others;
     for (size_t other = 1; other < nodes; ++other)
         others.insert(fleet::idOf(other));
-    return Common::rankOwners(fleet::account().value, fleet::idOf(0), others).owner == fleet::idOf(index);
+    return Common::rankOwners(fleet_plan().account, fleet::idOf(0), others).owner == fleet::idOf(index);
 }
 
 bool isRestarted(fleet_event event, size_t index, size_t nodes)
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -218,6 +218,8 @@
         Membership::seeds_changed seeds;
         Gateway::peers_update knownPeers;
         for (const auto& [id, entry] : listedNodes) {
+            if (entry.isLeaving)
+                knownPeers.leaving.insert(id);
             if (id == facts.node)
                 continue;
             knownPeers.peers.insert(id);
