A leaving node refuses streams once callers have other nodes' addresses

What callers saw (report of another operator): in a planned stop of one front machine, in calm, requests that came late in the grace period were taken and passed on, and cut at its end. A stream that has begun can't be answered otherwise, and was cut.

Cause: whether a stream can be finished is predicted from earlier ones. An endpoint that turns slow after it was taken, silent for a few seconds, makes the prediction wrong, and no prediction can rule that out.

Change: three lives of a directory answer after the stop callers have other addresses. From then on a leaving node refuses streams at once (503, not run, with Retry-After), if it knows a node that can take them. A node that is alone takes them as before.

The table's row of streams declared its route with a type that the platform doesn't have ("stream"), so that it played plain requests; it says "streaming" now, which is stricter, and is green.

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -15,6 +15,8 @@
     /// Retry-After of rejections before this node has received its first catalog, and while it is leaving.
     constexpr milliseconds retryAfterNotReady { 500 };
     constexpr milliseconds retryAfterLeaving { 100 };
+    /// Callers may use an answer of the directory for this many times its life.
+    constexpr int maxAddressLives = 3;
     /// A leaving node must have completed its responses within this share of the grace period.
     constexpr double finishShareOfGrace = 0.85;
     /// A leaving node admits a request only if its expected duration is below this share of the time left.
@@ -40,9 +42,17 @@
         return true;
     }
 
+    /// @return whether callers have other nodes' addresses by now. A stream that has begun can't be answered otherwise when the
+    /// node's time is over.
+    bool mustUseOtherNode(const gateway_state& state, const proxied_call& call)
+    {
+        const bool isStream = call.route->kind == Catalog::route_kind::Stream;
+        return isStream && !state.relayPeers.empty() && call.arrived - *state.leavingSince > maxAddressLives * state.addressLife;
+    }
+
     bool canFinishBeforeLeaving(const gateway_state& state, const proxied_call& call)
     {
-        if (state.leavingPhase != leaving_phase::Accepting)
+        if (state.leavingPhase != leaving_phase::Accepting || mustUseOtherNode(state, call))
             return false;
         const Common::instant end = *state.leavingSince + std::chrono::duration_cast<milliseconds>(state.grace * finishShareOfGrace);
         const double predicted = Scheduling::predictFirstEventMs(state.scheduler, { call.service, call.facts.model, call.arrived, call.deadline }, call.arrived);
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -801,6 +801,7 @@
     self.outlets = std::move(outlets);
     self.state = makeGatewayState(self.settings.facts, self.settings.seed);
     self.crashes.setReceivers({ self.outlets.sendQuarantineStatements, self.outlets.storeQuarantines, [&self](const std::set<Quarantine::fingerprint>& fingerprints) { self.scheduleRecall(fingerprints); } });
+    self.state.addressLife = self.settings.addressLife;
     self.state.quota.incarnation = self.settings.incarnation;
     self.allowances.start({ [&self](caller_session* session, call_id id) { return self.find(session, id); }, [&self](proxied_call& call) { self.place(call); }, [&self](proxied_call& call, const request_rejection& rejection) { self.refuse(call, rejection); }, self.outlets.sendLeases });
     self.setSessionEvents();
--- a/Source/Core/Gateway/GatewayDuty.h
+++ b/Source/Core/Gateway/GatewayDuty.h
@@ -42,6 +42,7 @@
     Common::incarnation_number incarnation;
     wire_format wire;
     uint64_t seed { 1 };
+    std::chrono::milliseconds addressLife { 1000 }; ///< How long callers may use an answer of the directory.
 };
 
 class gateway_duty {
--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -29,6 +29,7 @@
     Quarantine::quarantine_state quarantine;
     Quarantine::crash_evidence crashEvidence;
     std::map<Common::service_name, version_share_update> versionShares;
+    milliseconds addressLife { 1000 }; ///< How long callers may use an answer of the directory.
     std::vector<relay_peer> relayPeers;
     std::map<Common::node_id, Common::instant> unusableRelays; ///< Until when each gets no relayed requests.
     finish_time_map finishTimes;
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -65,6 +65,11 @@
         return settings;
     }
 
+    milliseconds addressLifeOf(const Fleet::node_facts& facts)
+    {
+        return std::min(addressTimeToLive, facts.bounds.maxAddressTtl);
+    }
+
     Directory::directory_settings makeDirectorySettings(const Fleet::node_facts& facts)
     {
         Directory::directory_settings settings;
@@ -72,7 +77,7 @@
         if (!facts.listen.directory.empty() && facts.listen.directory != facts.listen.readiness)
             settings.listen.push_back(facts.listen.directory);
         settings.listen.push_back(facts.ip + ":" + std::to_string(facts.lastPeerPort));
-        settings.addressLife = std::min(addressTimeToLive, facts.bounds.maxAddressTtl);
+        settings.addressLife = addressLifeOf(facts);
         settings.format = PlatformAdapter::makeDirectoryFormat();
         return settings;
     }
@@ -101,7 +106,7 @@
     explicit implementation(const Fleet::node_facts& nodeFacts)
         : facts(nodeFacts)
         , directory(makeDirectorySettings(nodeFacts))
-        , gateway({ nodeFacts, incarnation, PlatformAdapter::makeWireFormat(), Common::systemSeed() }, makeGatewayOutlets())
+        , gateway({ nodeFacts, incarnation, PlatformAdapter::makeWireFormat(), Common::systemSeed(), addressLifeOf(nodeFacts) }, makeGatewayOutlets())
         , control({ nodeFacts, makeNodeEntry(nodeFacts, incarnation), PlatformAdapter::makePlatformCalls(), Common::systemSeed() }, makeControlOutlets())
         , peers(makePeerSettings(nodeFacts, incarnation), makePeerOutlets())
     {
--- a/Tests/Platform/PlannedStopsTest.cpp
+++ b/Tests/Platform/PlannedStopsTest.cpp
@@ -7,6 +7,7 @@
 #include "Platform/TimedTraffic.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <csignal>
 #include <functional>
 
@@ -17,12 +18,17 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds waitLimit { 10000 };
+/// After the planned stop; late enough that the grace period ends before the time limit of requests that are sent then.
+constexpr milliseconds slowAfter { 4800 };
+constexpr milliseconds slowWork { 8000 };
+/// Of each request, less what the system may answer earlier.
+constexpr milliseconds timeLimit { 2900 };
 
 json makeManifest(int version)
 {
     const auto route = [](const char* name, const char* type) { return json { { "name", name }, { "hostname", "h.example" }, { "prefix", std::string("/") + name + "/" }, { "routeType", type }, { "timeoutMs", 3000 }, { "service", "s" }, { "maxAttempts", 2 } }; };
     return { { "version", version },
-        { "routes", { route("idem", "idempotent"), route("once", "unsafe"), route("stream", "stream") } },
+        { "routes", { route("idem", "idempotent"), route("once", "unsafe"), route("stream", "streaming") } },
         { "services", { { { "name", "s" } } } },
         { "tenants", { { { "name", "clerks" }, { "apiKeys", { "k1" } } } } } };
 }
@@ -48,6 +54,7 @@
     Reload,
     Manifest,
     StopInTurn, ///< All nodes, with overlap.
+    StopOneOfTwo, ///< The first; answers that begin late in its grace period take longer than that.
 };
 
 struct row {
@@ -84,7 +91,7 @@
             endpoints.push_back(std::make_unique<timed_endpoint>(item.answerTime, item.slots));
             store.put("servers", "i-" + std::to_string(number), makeEntry(endpoints.back()->address()));
         }
-        const int nodeCount = item.work == planned_work::StopInTurn ? 3 : 1;
+        const int nodeCount = item.work == planned_work::StopInTurn ? 3 : (item.work == planned_work::StopOneOfTwo ? 2 : 1);
         for (int number = 0; number < nodeCount; ++number)
             nodes.push_back(std::make_unique<running_node>(node_surroundings { .name = "n" + std::to_string(number), .storeAddress = store.address(), .moreLines = { "bounds.graceS=" + std::to_string(item.graceSeconds) } }));
         for (const auto& node : nodes)
@@ -110,6 +117,13 @@
             stop(*nodes[0]);
             CHECK_TEXT(waitForEnd(*nodes[0]), item.name);
             break;
+        case planned_work::StopOneOfTwo:
+            stop(*nodes[0]);
+            std::this_thread::sleep_for(slowAfter);
+            for (const auto& endpoint : endpoints)
+                endpoint->setWork(slowWork);
+            CHECK_TEXT(waitForEnd(*nodes[0]), item.name);
+            break;
         case planned_work::Reload:
             for (int times = 0; times < 4; ++times) {
                 nodes[0]->writeSettings("some.new=" + std::to_string(times) + "\n");
@@ -186,6 +200,14 @@
     return judge(item, callers.finish(), played.arrivals(), played.countCuts());
 }
 
+/// @return how many requests were passed on and cut without a whole answer before their time limit.
+size_t countCutInTime(const std::vector<sent_request>& requests, const std::set<std::string>& arrivals)
+{
+    return static_cast<size_t>(std::count_if(requests.begin(), requests.end(), [&arrivals](const sent_request& request) {
+        return !request.isAnswered && arrivals.contains(request.id) && request.ended - request.sent < timeLimit;
+    }));
+}
+
 const request_shape kept { .target = "/once/x", .keepsConnection = true };
 const request_shape sparse { .target = "/once/x", .pause = milliseconds(90) };
 const request_shape pipelined { .target = "/once/x", .keepsConnection = true, .pipelined = 3 };
@@ -216,3 +238,20 @@
     }
     STRCMP_EQUAL("", failures.c_str());
 }
+
+TEST(PlannedStops, RequestsTakenLateInTheGraceOfOneOfTwoNodesAreNotCutAtItsEnd)
+{
+    const row rows[] = {
+        { "at most once", planned_work::StopOneOfTwo, { .target = "/once/x" }, 4, milliseconds(60), 8 },
+        { "streams", planned_work::StopOneOfTwo, stream, 4, milliseconds(200), 8 },
+    };
+    for (const row& item : rows) {
+        stage played(item);
+        timed_callers callers({ played.nodes[0]->callers() }, item.callers, item.shape);
+        played.perform();
+        const std::vector<sent_request> requests = callers.finish();
+        const size_t cut = countCutInTime(requests, played.arrivals());
+        UT_PRINT((std::string(item.name) + ": " + std::to_string(requests.size()) + " sent, " + std::to_string(cut) + " cut").c_str());
+        CHECK_EQUAL_TEXT(0, cut, item.name);
+    }
+}
--- a/Tests/Platform/TimedTraffic.cpp
+++ b/Tests/Platform/TimedTraffic.cpp
@@ -105,6 +105,11 @@
     close(m_listener);
 }
 
+void timed_endpoint::setWork(milliseconds work)
+{
+    m_work = work;
+}
+
 std::string timed_endpoint::address() const
 {
     sockaddr_in bound {};
@@ -155,16 +160,17 @@
         --m_busy;
         std::this_thread::sleep_for(milliseconds(2));
     }
+    const milliseconds work = m_work;
     const std::string head = "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: " + id + "\r\nX-Filbertreel-Server-Seal: s.1\r\n";
     if (request.find(" /stream/") == std::string::npos) {
-        std::this_thread::sleep_for(m_work);
+        std::this_thread::sleep_for(work);
         sendAll(socket, head + "Content-Length: 5\r\n\r\nhello");
     } else {
-        std::this_thread::sleep_for(m_work / 4);
+        std::this_thread::sleep_for(work / 4);
         sendAll(socket, head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int event = 1; event <= streamEvents && !m_isStopping; ++event) {
             sendAll(socket, "f\r\nid: " + std::to_string(event) + "\ndata: t\n\n\r\n");
-            std::this_thread::sleep_for(m_work * 3 / 4 / streamEvents);
+            std::this_thread::sleep_for(work * 3 / 4 / streamEvents);
         }
         sendAll(socket, "0\r\n\r\n");
     }
--- a/Tests/Platform/TimedTraffic.h
+++ b/Tests/Platform/TimedTraffic.h
@@ -25,6 +25,8 @@
     timed_endpoint(const timed_endpoint&) = delete;
     timed_endpoint& operator=(const timed_endpoint&) = delete;
 
+    /// Changes the time of the answers that begin from now on.
+    void setWork(std::chrono::milliseconds work);
     std::string address() const;
     /// @return the attempt ids of the requests that arrived.
     std::set<std::string> arrivals() const;
@@ -34,7 +36,7 @@
     void serveConnection(int socket);
     void answer(int socket, const std::string& request);
 
-    std::chrono::milliseconds m_work;
+    std::atomic<std::chrono::milliseconds> m_work;
     size_t m_slots;
     std::atomic<size_t> m_busy { 0 };
     int m_listener;
