A late write of a node's earlier process no longer hides the node that was started again

A write of the earlier process that is performed late (the node leaves) replaced the row of the one that runs. Callers saw a directory without the node for its whole life, though it was ready; its peers left it out as well.

Change: a node whose row in the list isn't as it wrote it last, in a list that isn't older than that write, registers again.

Evidence: PlatformNode, ALateWriteOfItsEarlierProcess...: red before at the first row (not registered again within 8 s), green after (0.6 s for both rows).

--- a/Source/Core/Control/NodeRows.cpp
+++ b/Source/Core/Control/NodeRows.cpp
@@ -14,6 +14,17 @@
         return { rows.watch.settings.table, "", node.value };
     }
 
+    /// @return whether the list has this node's row as it was last written, or is older than that write.
+    bool isListed(const node_rows& rows)
+    {
+        const Fleet::node_map& nodes = rows.context.nodes;
+        const auto own = nodes.find(rows.context.settings.self.node);
+        if (own == nodes.end())
+            return false;
+        const bool isCurrent = own->second.incarnation == rows.context.settings.self.incarnation && own->second.isLeaving == rows.isLeaving;
+        return isCurrent || rows.watch.newest < rows.registeredAt;
+    }
+
 } // namespace
 
 void readNodeRows(node_rows& rows)
@@ -27,9 +38,9 @@
         else
             Common::logEvent(Common::log_level::Warning, "node_row_unreadable", { { "node", key } });
     }
-    // Another node has removed the row because it considered this node dead, or the row is unreadable: register again.
-    if (rows.isRegistered && !context.nodes.contains(context.settings.self.node))
-        rows.isRegistered = false;
+    // Another node has removed the row because it considered this node dead, it is unreadable, or a write of this node's
+    // earlier process was performed late: register again.
+    rows.isRegistered = rows.isRegistered && isListed(rows);
 }
 
 void registerSelf(node_rows& rows, Common::instant now)
@@ -46,6 +57,8 @@
     const bool wroteLeaving = rows.isLeaving;
     context.commit(write, [&rows, wroteLeaving](const Store::rows_answer& answer) {
         rows.isRegistering = false;
+        if (answer.outcome == Store::call_outcome::Done)
+            rows.registeredAt = answer.newest;
         rows.isRegistered = answer.outcome == Store::call_outcome::Done && wroteLeaving == rows.isLeaving;
         rows.nextRegistration = Common::bootClockNow() + registerRetryDelay;
     });
--- a/Source/Core/Control/NodeRows.h
+++ b/Source/Core/Control/NodeRows.h
@@ -14,6 +14,7 @@
     control_context& context;
     Store::table_watch watch {}; ///< The table of all nodes.
     bool isRegistered { false }; ///< The store has this node's current row.
+    Store::row_version registeredAt {}; ///< Of the store, after this node's last write.
     bool isRegistering { false }; ///< A write of this node's row is in progress.
     bool isLeaving { false };
     bool hasLeft { false }; ///< The row was removed and must not be written again.
--- a/Tests/Platform/NodeTest.cpp
+++ b/Tests/Platform/NodeTest.cpp
@@ -329,3 +329,36 @@
     node.writeSettings("");
     CHECK(eventually([&] { return node.readiness() == 200; }));
 }
+
+TEST(PlatformNode, ALateWriteOfItsEarlierProcessDoesNotHideANodeThatWasStartedAgain)
+{
+    struct row {
+        const char* condition;
+        int64_t incarnationChange;
+        bool isLeaving;
+    };
+    const row rows[] = {
+        { "the earlier process leaves", -1000, true },
+        { "the earlier process registers", -1000, false },
+    };
+    store_stand_in store;
+    store.put("op", "config", makeManifest(3, "k1"));
+    running_node node({ .storeAddress = store.address() });
+    CHECK(eventually([&] { return node.served() == 200 || node.served() == 503; }));
+    CHECK(eventually([&] { return !store.get("nodes", "n1").empty(); }));
+    const json own = json::parse(store.get("nodes", "n1"));
+    const auto isNamed = [&] { return ask(node.ready(), "/v1/resolve?zone=z&region=r").find(std::to_string(node.callers())) != std::string::npos; };
+    for (const row& item : rows) {
+        CHECK_TEXT(eventually(isNamed), item.condition);
+        json late = own;
+        late["incarnation"] = own["incarnation"].get<int64_t>() + item.incarnationChange;
+        late["leaving"] = item.isLeaving;
+        store.put("nodes", "n1", late);
+        CHECK_TEXT(eventually([&] {
+            const json current = json::parse(store.get("nodes", "n1"));
+            return current["incarnation"] == own["incarnation"] && current["leaving"] == false;
+        }),
+            item.condition);
+        CHECK_TEXT(eventually(isNamed), item.condition);
+    }
+}
