Quotas: at a first start, too, the others that become known count as known from the start

A node at its fleet's first start counts as settled at once, and took the nodes that it came to know for newly listed, so that several owners stayed for another second. What counts is how long it has known any peers.

--- a/Source/Core/Quota/LeaseOwners.cpp
+++ b/Source/Core/Quota/LeaseOwners.cpp
@@ -109,7 +109,12 @@
 
 bool isSettled(const quota_state& state, Common::instant now)
 {
-    return !state.startsEmpty || state.knowsWholeFleet || now - state.peersKnownSince >= settlingTime;
+    return !state.startsEmpty || state.knowsWholeFleet || !isJustStarted(state, now);
+}
+
+bool isJustStarted(const quota_state& state, Common::instant now)
+{
+    return now - state.peersKnownSince < settlingTime;
 }
 
 void updateOwners(quota_state& state, Common::instant now)
--- a/Source/Core/Quota/LeaseOwners.h
+++ b/Source/Core/Quota/LeaseOwners.h
@@ -16,6 +16,9 @@
 /// @return whether this node may rely on the peers that it knows; false shortly after it was started anew.
 bool isSettled(const quota_state& state, Common::instant now);
 
+/// @return whether this node has known any peers for a short time only.
+bool isJustStarted(const quota_state& state, Common::instant now);
+
 /// Answers an ask for an account whose bucket this node keeps; nothing if it keeps none, or if the ask is outdated.
 std::optional<lease_answer> answerForAll(quota_state& state, const Common::node_id& node, const lease_ask& ask, Common::instant now);
 
--- a/Source/Core/Quota/Quota.cpp
+++ b/Source/Core/Quota/Quota.cpp
@@ -249,7 +249,7 @@
     const bool hasFoundOthers = state.peers.empty() && !peers.empty();
     const bool isFirstView = !state.arePeersKnown || state.peersKnownSince == Common::instant();
     // A node that has just been started can't tell which of the others have been as well.
-    const Common::instant listedSince = isFirstView || !isSettled(state, now) ? Common::instant() : now;
+    const Common::instant listedSince = isFirstView || isJustStarted(state, now) ? Common::instant() : now;
     if (isFirstView || hasFoundOthers)
         state.peersKnownSince = now;
     state.arePeersKnown = true;
--- a/Source/Core/Quota/Quota.h
+++ b/Source/Core/Quota/Quota.h
@@ -87,7 +87,7 @@
     Common::incarnation_number incarnation; ///< Zero before the first report.
     Common::instant lastReportAt; ///< Before the first report: when the peer was added.
     bool isLeasing { true }; ///< As the last report said.
-    Common::instant listedSince {}; ///< Zero if it was listed before this node was settled.
+    Common::instant listedSince {}; ///< Zero if it was listed while this node had just been started.
     bool isLeaving { false };
 };
 
