Quotas: a leaving node gives its accounts up a second after its stop

The leaving node now answers for a second, in which the others learn that it leaves, and then no more.

Evidence: QuotaRestarts, ALeavingOwnerAndItsSuccessorDoNotBothGrantTheWholeRate, 7 to 80 nodes, 7.5 times the rate, half the nodes of an earlier build: red before at 7 nodes; green after.

--- a/Source/Core/Quota/LeaseOwners.cpp
+++ b/Source/Core/Quota/LeaseOwners.cpp
@@ -31,7 +31,7 @@
     std::set<Common::node_id> chooseCandidates(const quota_state& state, const std::set<Common::node_id>& all, Common::instant now)
     {
         std::set<Common::node_id> found;
-        if (!state.isLeaving && isSettled(state, now))
+        if (!state.leavingSince && isSettled(state, now))
             found.insert(state.self);
         for (const auto& [id, peer] : state.peers) {
             const bool isSettledPeer = peer.listedSince == Common::instant() || now - peer.listedSince >= settlingTime;
@@ -57,6 +57,8 @@
         };
         if (!isSettled(state, now))
             consider(state.peersKnownSince + settlingTime);
+        if (state.leavingSince)
+            consider(*state.leavingSince + settlingTime);
         for (const auto& [id, peer] : state.peers) {
             if (peer.listedSince != Common::instant())
                 consider(peer.listedSince + settlingTime);
@@ -121,12 +123,13 @@
 {
     const std::set<Common::node_id> all = leasingNodes(state);
     const std::set<Common::node_id> candidates = chooseCandidates(state, all, now);
+    const bool hasLeftOwnership = state.leavingSince && now - *state.leavingSince >= settlingTime;
     state.nextOwnerChange = findNextOwnerChange(state, now);
     for (auto& [id, lease] : state.accounts) {
         const bool isFirstView = lease.owners.owner.value.empty() && lease.owners.backup.value.empty() && !state.buckets.contains(id);
         lease.owners = rank(id, candidates);
         // Nodes that don't know yet that this one leaves, or that all were listed lately, ask by this ranking.
-        const Common::ranked_owners ofAll = rank(id, all);
+        const Common::ranked_owners ofAll = hasLeftOwnership ? lease.owners : rank(id, all);
         const bool isOwner = lease.owners.owner == state.self || ofAll.owner == state.self;
         const bool isBackup = !isOwner && (lease.owners.backup == state.self || ofAll.backup == state.self);
         const auto found = state.buckets.find(id);
--- a/Source/Core/Quota/Quota.cpp
+++ b/Source/Core/Quota/Quota.cpp
@@ -263,7 +263,8 @@
 
 void setLeaving(quota_state& state, const std::set<Common::node_id>& leaving, Common::instant now)
 {
-    state.isLeaving = state.isLeaving || leaving.contains(state.self);
+    if (!state.leavingSince && leaving.contains(state.self))
+        state.leavingSince = now;
     for (auto& [id, peer] : state.peers)
         peer.isLeaving = leaving.contains(id);
     updateOwners(state, now);
--- a/Source/Core/Quota/Quota.h
+++ b/Source/Core/Quota/Quota.h
@@ -102,7 +102,7 @@
     Common::instant peersKnownSince;
     bool knowsWholeFleet { false }; ///< The peers are known to be complete.
     size_t expectedNodes { 0 }; ///< How many nodes the fleet had before this node was started; zero if unknown.
-    bool isLeaving { false }; ///< This node leaves.
+    std::optional<Common::instant> leavingSince; ///< Set when this node leaves.
     std::optional<Common::instant> nextOwnerChange; ///< When a node that was listed lately may become an owner.
     Common::instant reportedAt; ///< Time of this node's last report.
     milliseconds peerReportTimeout { 900 }; ///< A peer without a report for longer counts as silent.
--- a/Source/Core/Quota/Tests/QuotaRestartsTest.cpp
+++ b/Source/Core/Quota/Tests/QuotaRestartsTest.cpp
@@ -125,3 +125,24 @@
     }
     STRCMP_EQUAL("", failures.c_str());
 }
+
+TEST(QuotaRestarts, ALeavingOwnerAndItsSuccessorDoNotBothGrantTheWholeRate)
+{
+    constexpr int endsAfterMs = 6000;
+    constexpr double demand = 7.5;
+    for (const size_t nodes : fleetSizes) {
+        for (const char* account : accounts) {
+            fleet fleet({ .nodes = nodes, .minTokens = 100, .maxTokens = 2900, .rate = rate, .burst = rate, .account = account }, 7 + nodes);
+            const Common::node_id owner = fleet.nodes[0].state.accounts[fleet.account()].owners.owner;
+            for (milliseconds now(0); now.count() < beginMs + endsAfterMs; now += tick) {
+                // Nodes of earlier builds don't heed who leaves.
+                for (size_t index = 0; now.count() == beginMs && index < nodes; ++index) {
+                    if (index % 2 == 0 || fleet::idOf(index) == owner)
+                        setLeaving(fleet.nodes[index].state, { owner }, fleet::at(now));
+                }
+                fleet.step(now, demand);
+            }
+            CHECK_TEXT(fleet.partOfBound(rate, rate) <= 1, (std::string(account) + ", " + std::to_string(nodes) + " nodes").c_str());
+        }
+    }
+}
