Home regions, evacuation of a zone and cold endpoints are served

Cause: nothing read allowedRegions, the evacuation rows or coldPerS.

Change: Gateway/HomeRegions combines the homes of route and account; the choice of an endpoint and of a relaying node ask it, by the catalog in force. An operator's evacuation row excludes a zone from first and further attempts and path checks, its demand is planned for in the other zones, and a zone that is taken back counts as cold. Cold endpoints need tokens, as endpoints that state a limit do, at a rate for which any one second is within the bound. A token request of a node that knows no limit of an endpoint no longer withdraws the one that the owner knows.

Each acts only where the configuration has homes, an evacuation row or coldPerS with a bound in the settings.

--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,9 @@
     Stream, ///< Answered by a stream of events; must not run twice unless the route is resumable.
 };
 
+/// Regions in which requests may be served; empty when all may.
+using home_regions = std::set<Common::region_name>;
+
 /// A service that receives a share of a route's requests.
 struct service_share {
     Common::service_name service;
@@ -43,6 +47,7 @@
     bool isPublic { false }; ///< Callers need no key.
     bool isSticky { false }; ///< Requests carry prompt parts that are best kept on the same endpoint.
     bool isResumable { false }; ///< A broken stream may be continued at another endpoint.
+    home_regions homes {}; ///< Empty: no restriction.
 };
 
 /// Properties of each engine of a service that batches model requests.
@@ -68,6 +73,8 @@
     uint32_t maxConnections { 0 };
     std::optional<engine_profile> engine;
     std::optional<scaling_bounds> scaling;
+    double coldPerSecond { 0 }; ///< Requests per second that a cold endpoint takes from all nodes together; zero: not limited.
+    milliseconds coldTime { 0 }; ///< How long an endpoint stays cold.
 };
 
 /// Rate limit of a client account, enforced over all nodes together. A rate of zero means no limit.
@@ -83,6 +90,7 @@
     std::vector<std::string> keys;
     std::optional<uint32_t> priority; ///< Overrides the priority of the route.
     allowance allowed;
+    home_regions homes {}; ///< Empty: no restriction.
 };
 
 /// Limits on the size and duration of a caller's input.
--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -107,8 +107,19 @@
             applyCatalog(operatorWatch.rows, "store");
     }
 
+    void applyEvacuations()
+    {
+        std::set<Common::zone_name> zones = context.settings.calls.evacuatedZones(operatorWatch.rows);
+        if (zones == orders.planState.evacuated)
+            return;
+        orders.planState.evacuated = zones;
+        outlets.sendToGateway(Gateway::evacuations_update { std::move(zones) });
+    }
+
     void operatorRowsChanged()
     {
+        // Before the catalog, with which a node that has just started begins to serve.
+        applyEvacuations();
         applyStoredCatalog();
         perform(rollouts, applyOrders(rollouts.tracker, context.settings.calls.rollouts(operatorWatch.rows), operatorWatch.rows, Common::bootClockNow()));
     }
--- a/Source/Core/Control/EndpointOrders.cpp
+++ b/Source/Core/Control/EndpointOrders.cpp
@@ -72,6 +72,8 @@
         restartPlans(ordering, now);
         Scaling::wanted_map wanted = Scaling::withoutReleases(ordering.planState.wanted, *context.catalog, context.endpoints.endpoints, changingVersion);
         std::erase_if(wanted, [&](const auto& entry) {
+            if (ordering.planState.evacuated.contains(entry.first.zone))
+                return true;
             const auto changing = ordering.changingSince.find(entry.first.service);
             if (ordering.changedAt.contains(entry.first.service))
                 return true;
--- a/Source/Core/Control/PlatformCalls.h
+++ b/Source/Core/Control/PlatformCalls.h
@@ -12,6 +12,7 @@
 #include "Usage/Usage.h"
 
 #include <optional>
+#include <set>
 
 namespace Control {
 
@@ -47,6 +48,8 @@
     Catalog::catalog_pointer (*catalog)(const std::map<std::string, Store::row>& rows, uint64_t newerThan) { nullptr };
     /// @return the rollouts ordered by operators.
     std::vector<rollout_order> (*rollouts)(const std::map<std::string, Store::row>& rows) { nullptr };
+    /// @return the availability zones that operators want to get no requests.
+    std::set<Common::zone_name> (*evacuatedZones)(const std::map<std::string, Store::row>& rows) { nullptr };
     Fleet::listing (*endpoints)(const std::map<std::string, Store::row>& rows) { nullptr };
     Store::row_write (*rolloutStatus)(const rollout_order& order, rollout_status status) { nullptr };
     std::optional<rollout_status> (*readRolloutStatus)(const Store::row& row, const rollout_order& order) { nullptr };
--- a/Source/Core/EndpointLimits/SharedLimits.cpp
+++ b/Source/Core/EndpointLimits/SharedLimits.cpp
@@ -15,6 +15,9 @@
         return Common::rankOwners(start.endpoint.value, state.self, state.peers);
     }
 
+    /// Older than any response, so that not knowing a limit never withdraws one.
+    constexpr milliseconds ageOfNoStatement = std::chrono::hours(1);
+
     /// @return the part of an endpoint's limit that this node grants.
     double ownGrantingShare(const shared_limits& state, const endpoint_start& start)
     {
@@ -28,7 +31,7 @@
     {
         const auto found = state.table.find(start.endpoint);
         if (found == state.table.end() || found->second.started != start.started)
-            return { start };
+            return { start, 0, ageOfNoStatement };
         return { start, found->second.perSecond, std::chrono::duration_cast<milliseconds>(now - found->second.statedAt) };
     }
 
@@ -60,15 +63,15 @@
 
     token_decision decideGrant(shared_limits& state, const endpoint_start& start, const Common::node_id& node, uint32_t wanted, Common::instant now)
     {
-        const limit_record* limit = findLimit(state.table, start);
+        const double rate = findRate(state, start, now);
         const double share = ownGrantingShare(state, start);
-        if (!limit || share <= 0)
+        if (rate <= 0 || share <= 0)
             return {};
         const auto [entry, isNew] = state.buckets.try_emplace(start);
         // Another node may have granted until now, so a new bucket starts empty.
         if (isNew)
             entry->second.refilledAt = now;
-        return grantTokens(entry->second, limit->perSecond * share, node, wanted, now);
+        return grantTokens(entry->second, rate * share, node, wanted, now);
     }
 
     void dropExpired(token_pool& pool, Common::instant now)
@@ -171,9 +174,30 @@
     return change;
 }
 
+double findRate(const shared_limits& state, const endpoint_start& start, Common::instant now)
+{
+    const limit_record* stated = findLimit(state.table, start);
+    const double cold = findColdRate(state.warmUps, start, now);
+    if (!stated || cold <= 0)
+        return stated ? stated->perSecond : cold;
+    return std::min(stated->perSecond, cold);
+}
+
+std::set<endpoint_start> findLimitedStarts(const shared_limits& state, Common::instant now)
+{
+    std::set<endpoint_start> starts;
+    for (const auto& [id, record] : state.table)
+        starts.insert({ id, record.started });
+    for (const auto& [start, item] : state.warmUps) {
+        if (now < item.end)
+            starts.insert(start);
+    }
+    return starts;
+}
+
 bool maySend(shared_limits& state, const endpoint_start& start, Common::instant now)
 {
-    if (!findLimit(state.table, start))
+    if (findRate(state, start, now) <= 0)
         return true;
     const auto pool = state.pools.find(start);
     if (pool == state.pools.end())
@@ -184,7 +208,7 @@
 
 void useToken(shared_limits& state, const endpoint_start& start, Common::instant now)
 {
-    if (!findLimit(state.table, start))
+    if (findRate(state, start, now) <= 0)
         return;
     token_pool& pool = state.pools[start];
     dropExpired(pool, now);
@@ -206,7 +230,7 @@
         if (next == state.pools.end())
             next = state.pools.begin();
         auto& [start, pool] = *next;
-        if (pool.demand == 0 || now < pool.nextAsk || !findLimit(state.table, start))
+        if (pool.demand == 0 || now < pool.nextAsk || findRate(state, start, now) <= 0)
             continue;
         dropExpired(pool, now);
         const auto inHand = static_cast<uint32_t>(pool.expiries.size());
@@ -250,6 +274,7 @@
         return found == endpoints.end() || found->second.started != entry.first.started;
     };
     std::erase_if(state.pools, isGone);
+    std::erase_if(state.warmUps, isGone);
     std::erase_if(state.buckets, isGone);
     std::erase_if(state.broadcastAt, isGone);
 }
--- a/Source/Core/EndpointLimits/SharedLimits.h
+++ b/Source/Core/EndpointLimits/SharedLimits.h
@@ -7,6 +7,7 @@
 
 #include "EndpointLimits/LimitTable.h"
 #include "EndpointLimits/TokenBucket.h"
+#include "EndpointLimits/WarmUps.h"
 
 #include <deque>
 #include <optional>
@@ -71,6 +72,7 @@
     Common::node_id self;
     std::set<Common::node_id> peers;
     limit_table table;
+    warm_up_map warmUps; ///< Of endpoints that are cold, or were.
     std::map<endpoint_start, token_pool> pools;
     std::map<endpoint_start, token_bucket> buckets; ///< Of endpoints that this node owns or is ranked next for.
     std::map<endpoint_start, Common::instant> broadcastAt; ///< Last time that this node told all others.
@@ -84,6 +86,13 @@
 /// @param perSecond the limit, at most maxPerSecond; zero if the response states none.
 limit_change stateLimit(shared_limits& state, const endpoint_start& start, double perSecond, Common::instant now);
 
+/// @return requests per second that the endpoint takes now, by what it has stated and because it is cold; zero if it isn't
+/// limited.
+double findRate(const shared_limits& state, const endpoint_start& start, Common::instant now);
+
+/// @return all endpoints that may be limited now.
+std::set<endpoint_start> findLimitedStarts(const shared_limits& state, Common::instant now);
+
 /// @return whether a request may be sent to the endpoint now.
 bool maySend(shared_limits& state, const endpoint_start& start, Common::instant now);
 
--- a/Source/Core/EndpointLimits/Tests/LimitDay.h
+++ b/Source/Core/EndpointLimits/Tests/LimitDay.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <fmt/format.h>
@@ -47,6 +48,8 @@
 constexpr int troubleTimeMs = 4000;
 constexpr int removalMs = 8000;
 constexpr int joinSpreadMs = 500;
+constexpr int warmAtMs = statedAtMs + 12000;
+constexpr int listingSpreadMs = 400; ///< Between the first and the last node that learns of an endpoint.
 
 struct day_plan {
     const char* condition;
@@ -58,11 +61,15 @@
     trouble what { trouble::None };
     bool isOneNodeFirst { false }; ///< One node hears of the limits half a second before the others.
     size_t busyNodes { 0 }; ///< Only so many have callers; zero: all.
+    /// If set, the endpoints state no limit; they appear at statedAtMs and are cold until warmAtMs.
+    std::optional<cold_bound> cold {};
 };
 
 struct day_result {
     double mostOverAllowed { 0 }; ///< Highest number of counted arrivals in a window, less what is allowed.
     double used { 0 }; ///< Share of the limits that was used after contactMs, while there was no trouble.
+    size_t mostInOneSecond { 0 }; ///< At an endpoint while it is cold.
+    double usedWhileCold { 0 }; ///< Requests per second and endpoint.
     double mostBytesPerSecond { 0 }; ///< Of the node that sends and receives most, over the day after contactMs.
 };
 
@@ -120,7 +127,9 @@
             applyTrouble(ms);
             deliver(ms);
             for (size_t node = 0; node < m_nodes.size(); ++node) {
-                if (isActive(node, ms))
+                if (m_plan.cold && ms == listedAt(node))
+                    learnOfColdEndpoints(node, ms);
+                if (isActive(node, ms) && (!m_plan.cold || ms >= listedAt(node)))
                     sendRequests(node, ms);
             }
         }
@@ -136,6 +145,14 @@
 
     bool isActive(size_t node, int ms) const { return m_nodes[node].isUp && ms >= m_nodes[node].frozenUntil; }
 
+    int listedAt(size_t node) const { return statedAtMs + static_cast<int>(node * listingSpreadMs / m_nodes.size()); }
+
+    void learnOfColdEndpoints(size_t node, int ms)
+    {
+        for (size_t endpoint = 0; endpoint < m_plan.endpoints; ++endpoint)
+            recordWarmUp(m_nodes[node].state.warmUps, startOf(endpoint), milliseconds(warmAtMs - ms), coldTokenRate(*m_plan.cold), at(ms));
+    }
+
     bool isCut(size_t node, int ms) const
     {
         return m_plan.what == trouble::CutOff && isTroubled(node) && ms >= troubleMs && ms < troubleMs + troubleTimeMs;
@@ -274,7 +291,7 @@
             }
             useToken(sender.state, startOf(endpoint), at(ms));
             m_arrivals[endpoint].push_back({ ms, node });
-            if (ms >= statedAtMs && (!m_plan.isOneNodeFirst || node == 0 || ms >= statedAtMs + tellMs))
+            if (!m_plan.cold && ms >= statedAtMs && (!m_plan.isOneNodeFirst || node == 0 || ms >= statedAtMs + tellMs))
                 m_answers.emplace(ms + answerMs, std::pair { node, endpoint });
             return true;
         }
@@ -310,9 +327,25 @@
         return told != m_nodes[item.node].toldAt.end() && item.ms >= told->second + tellMs;
     }
 
+    void evaluateColdTime(day_result& result) const
+    {
+        constexpr int secondMs = 1000;
+        size_t count = 0;
+        for (const std::vector<arrival>& arrivals : m_arrivals) {
+            size_t first = 0;
+            for (size_t last = 0; last < arrivals.size() && arrivals[last].ms < warmAtMs; ++last, ++count) {
+                while (arrivals[last].ms - arrivals[first].ms >= secondMs)
+                    ++first;
+                result.mostInOneSecond = std::max(result.mostInOneSecond, last - first + 1);
+            }
+        }
+        result.usedWhileCold = static_cast<double>(count) * secondMs / (warmAtMs - statedAtMs) / static_cast<double>(m_plan.endpoints);
+    }
+
     day_result evaluate() const
     {
         day_result result;
+        evaluateColdTime(result);
         const double allowed = 1.5 * m_plan.limit * windowMs / 1000 + 5;
         double used = 0;
         for (size_t endpoint = 0; endpoint < m_plan.endpoints; ++endpoint) {
--- a/Source/Core/Fleet/NodeFacts.h
+++ b/Source/Core/Fleet/NodeFacts.h
@@ -45,6 +45,8 @@
     double exposureSlack { 50 }; ///< Requests allowed in addition to the share.
     milliseconds prefixReuse { 10000 }; ///< Processing the same prompt prefix again within this time is wasted work.
     milliseconds maxAddressTtl { 5000 }; ///< Maximum time to live of a directory answer.
+    double coldOvershoot { 0 }; ///< A cold endpoint may get this many times its rate in one second; zero: not limited.
+    double coldSlack { 0 }; ///< Requests that it may get besides in one second.
 };
 
 /// The platform's metadata store.
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -362,7 +362,7 @@
         current.started = endpoint.started;
         call.triedEndpoints.insert(placement.endpoint);
         recordDemand(state, call);
-        if (EndpointLimits::findLimit(state.endpointLimits.table, { placement.endpoint, placement.started }))
+        if (EndpointLimits::findRate(state.endpointLimits, { placement.endpoint, placement.started }, clockNow()) > 0)
             Common::countMetric("filbertreel_attempts_at_limited_endpoints_total");
         reportAttemptEvent(call, attempt_report::event::Begun);
         current.channel->exchange(writeRequest(call, settings.wire.writeAttempt(call.facts, makeAttemptFacts(call))), connectTimeout, makeEvents(call));
--- a/Source/Core/Gateway/GatewayState.cpp
+++ b/Source/Core/Gateway/GatewayState.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Log.h"
 #include "Common/Metrics.h"
+#include "Gateway/EndpointZones.h"
 
 #include <algorithm>
 #include <utility>
@@ -35,6 +36,8 @@
     made.quota.arePeersKnown = false;
     made.quota.random = Common::random_source(seed);
     made.quota.startsEmpty = !facts.isFirstStart;
+    made.coldOvershoot = facts.bounds.coldOvershoot;
+    made.coldSlack = facts.bounds.coldSlack;
     made.serviceRetries.rules = { facts.bounds.retryRatio, facts.bounds.retrySlack, facts.bounds.retryWindow };
     return made;
 }
@@ -50,6 +53,7 @@
         return;
     state.catalog = message.catalog;
     Quota::setAllowances(state.quota, *state.catalog, now);
+    limitColdEndpoints(state, now);
     Common::setMetric("filbertreel_catalog_version", static_cast<double>(state.catalog->version));
     Common::logEvent(Common::log_level::Info, "catalog_in_force", { { "version", state.catalog->version }, { "routes", state.catalog->routes.size() }, { "accounts", state.catalog->accounts.size() } });
 }
@@ -71,6 +75,7 @@
     for (const Common::endpoint_id& id : gone)
         Scheduling::removeEndpoint(state.scheduler, id);
     EndpointLimits::retainEndpoints(state.endpointLimits, message.endpoints);
+    limitColdEndpoints(state, now);
 }
 
 void applyMessage(gateway_state& state, const peers_update& message, Common::instant now)
@@ -127,6 +132,11 @@
     });
 }
 
+void applyMessage(gateway_state& state, const evacuations_update& message, Common::instant now)
+{
+    setEvacuatedZones(state, message.zones, now);
+}
+
 void applyMessage(gateway_state& state, const leave_started&, Common::instant now)
 {
     if (!state.leavingSince)
@@ -143,6 +153,8 @@
     report.demand.zone = facts.zone;
     report.demand.interval = currentReportInterval(state);
     report.inFlight = inFlight;
+    if (!state.evacuatedZones.empty())
+        Common::setMetric("filbertreel_requests_in_evacuated_zones", static_cast<double>(countInEvacuatedZones(state)));
     return report;
 }
 
--- a/Source/Core/Gateway/GatewayState.h
+++ b/Source/Core/Gateway/GatewayState.h
@@ -30,6 +30,9 @@
     Quarantine::crash_evidence crashEvidence;
     std::map<Common::service_name, version_share_update> versionShares;
     milliseconds addressLife { 1000 }; ///< How long callers may use an answer of the directory.
+    std::set<Common::zone_name> evacuatedZones; ///< Their endpoints get no requests.
+    double coldOvershoot { 0 }; ///< See Fleet::service_bounds.
+    double coldSlack { 0 };
     std::vector<relay_peer> relayPeers;
     std::map<Common::node_id, Common::instant> unusableRelays; ///< Until when each gets no relayed requests.
     finish_time_map finishTimes;
@@ -61,6 +64,7 @@
 void applyMessage(gateway_state& state, const endpoint_limit_received& message, Common::instant now);
 void applyMessage(gateway_state& state, const lease_received& message, Common::instant now);
 void applyMessage(gateway_state& state, const relay_peers_update& message, Common::instant now);
+void applyMessage(gateway_state& state, const evacuations_update& message, Common::instant now);
 void applyMessage(gateway_state& state, const leave_started& message, Common::instant now);
 
 /// Ends the current report interval and starts the next.
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -92,10 +92,15 @@
     std::vector<relay_peer> peers;
 };
 
+/// All availability zones whose endpoints get no requests, by order of an operator.
+struct evacuations_update {
+    std::set<Common::zone_name> zones;
+};
+
 /// This node starts to leave the cluster and drains its requests.
 struct leave_started { };
 
-using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, fleet_size_update, grants_received, version_share_update, quarantine_statement_received, quarantines_read, endpoint_limit_received, lease_received, relay_peers_update, leave_started>;
+using gateway_message = std::variant<catalog_update, endpoints_update, peers_update, fleet_size_update, grants_received, version_share_update, quarantine_statement_received, quarantines_read, endpoint_limit_received, lease_received, relay_peers_update, evacuations_update, leave_started>;
 
 /// Several services can have a rollout at a time.
 inline bool hasSameSubject(const version_share_update& older, const version_share_update& newer)
@@ -112,7 +117,7 @@
 
 /// The messages that tell a state; all others are events. A node serves once it has a catalog, so that comes after what it
 /// must know by then.
-using gateway_inbox = Common::duty_inbox<gateway_message, quarantines_read, peers_update, relay_peers_update, fleet_size_update, endpoints_update, version_share_update, catalog_update, leave_started>;
+using gateway_inbox = Common::duty_inbox<gateway_message, quarantines_read, peers_update, relay_peers_update, fleet_size_update, endpoints_update, evacuations_update, version_share_update, catalog_update, leave_started>;
 
 /// The start or end of an attempt, from which a rollout evaluates the version.
 struct attempt_report {
--- a/Source/Core/Gateway/PathMonitor.cpp
+++ b/Source/Core/Gateway/PathMonitor.cpp
@@ -44,7 +44,7 @@
 {
     std::vector<std::string> addresses;
     for (const auto& [id, endpoint] : m_state.scheduler.endpoints) {
-        if (endpoint.facts.service == service && endpoint.facts.phase == Fleet::endpoint_phase::Ready)
+        if (endpoint.facts.service == service && endpoint.facts.phase == Fleet::endpoint_phase::Ready && !m_state.evacuatedZones.contains(endpoint.facts.zone))
             addresses.push_back(endpoint.facts.address);
     }
     for (size_t chosen = 0; chosen < std::min(checksPerRound, addresses.size()); ++chosen) {
--- a/Source/Core/Gateway/Placement.cpp
+++ b/Source/Core/Gateway/Placement.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Placement.h"
 
 #include "Gateway/BrittleEndpoints.h"
+#include "Gateway/HomeRegions.h"
 
 #include <algorithm>
 
@@ -42,20 +43,20 @@
     std::set<Common::endpoint_id> findLimited(gateway_state& state, const Common::service_name& service, Common::instant now)
     {
         std::set<Common::endpoint_id> limited = findFullBrittle(state, service);
-        for (const auto& [id, record] : state.endpointLimits.table) {
-            const auto endpoint = state.scheduler.endpoints.find(id);
+        for (const EndpointLimits::endpoint_start& start : EndpointLimits::findLimitedStarts(state.endpointLimits, now)) {
+            const auto endpoint = state.scheduler.endpoints.find(start.endpoint);
             if (endpoint == state.scheduler.endpoints.end() || endpoint->second.facts.service != service)
                 continue;
-            if (!EndpointLimits::maySend(state.endpointLimits, { id, endpoint->second.facts.started }, now))
-                limited.insert(id);
+            if (!EndpointLimits::maySend(state.endpointLimits, { start.endpoint, endpoint->second.facts.started }, now))
+                limited.insert(start.endpoint);
         }
         return limited;
     }
 
-    void recordMissedTokens(gateway_state& state, const std::vector<Common::endpoint_id>& endpoints)
+    void recordMissedTokens(gateway_state& state, const std::vector<Common::endpoint_id>& endpoints, Common::instant now)
     {
         for (const Common::endpoint_id& id : endpoints) {
-            if (EndpointLimits::findLimit(state.endpointLimits.table, startOf(state, id)))
+            if (EndpointLimits::findRate(state.endpointLimits, startOf(state, id), now) > 0)
                 EndpointLimits::recordMissedToken(state.endpointLimits, startOf(state, id));
         }
     }
@@ -83,13 +84,13 @@
     void recordTokens(gateway_state& state, const proxied_call& call, tl::expected<Scheduling::placement, Scheduling::refusal>& placed, Common::instant now)
     {
         if (!placed) {
-            recordMissedTokens(state, placed.error().limited);
+            recordMissedTokens(state, placed.error().limited, now);
             if (placed.error().reason != Scheduling::refusal_reason::Limited)
                 return;
             placed.error().retryAfter = retryAfterLimited(state, placed.error(), now);
             return recordUnservedDemand(state, call);
         }
-        recordMissedTokens(state, placed->betterLimited);
+        recordMissedTokens(state, placed->betterLimited, now);
         EndpointLimits::useToken(state.endpointLimits, { placed->endpoint, placed->started }, now);
     }
 
@@ -102,6 +103,8 @@
     Scheduling::placement_limits limits;
     limits.avoided = call.triedEndpoints;
     limits.limited = findLimited(state, call.service, now);
+    limits.onlyRegions = findAllowedRegions(state, call);
+    limits.neverZones = state.evacuatedZones;
     restrictVersions(state, call, limits);
     auto placed = Scheduling::place(state.scheduler, workOf(call), limits, now);
     if (!placed && limits.onlyVersion) {
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Relay.h"
 
 #include "Gateway/AttemptOutcome.h"
+#include "Gateway/HomeRegions.h"
 
 #include <map>
 #include <set>
@@ -63,13 +64,14 @@
 {
     if (call.triedRelays.size() >= maxRelaysTried)
         return {};
+    const allowed_regions allowed = findAllowedRegions(state, call);
     const std::set<Common::zone_name> suspectZones = findSuspectZones(state, now);
     std::vector<relay_peer> nearest;
     distance nearestDistance = distance::SuspectZone;
     for (const relay_peer& peer : state.relayPeers) {
         if (!among.empty() && !among.contains(peer.node))
             continue;
-        if (call.triedRelays.contains(peer.node) || isUnusable(state, peer, now))
+        if (call.triedRelays.contains(peer.node) || isUnusable(state, peer, now) || !maySendBody(state.scheduler.ownLocation, allowed, peer.zone))
             continue;
         const distance peerDistance = suspectZones.contains(peer.zone) ? distance::SuspectZone : distanceTo(state.scheduler.ownLocation, peer);
         if (peerDistance > nearestDistance)
--- a/Source/Core/Scaling/Plan.cpp
+++ b/Source/Core/Scaling/Plan.cpp
@@ -52,15 +52,33 @@
         return known == input.demand.end() ? 0 : known->second.value;
     }
 
+    /// @return what each zone in use needs besides its own demand, in endpoints.
+    double neededForEvacuated(const Catalog::scaling_bounds& bounds, const plan_input& input)
+    {
+        const size_t zones = bounds.zonePrices.size();
+        double needed = 0;
+        size_t inUse = 0;
+        for (const auto& [zone, price] : bounds.zonePrices) {
+            if (input.evacuated.contains(zone))
+                needed += busyEnginesOf(input, zone, zones) / targetUtilization;
+            else
+                ++inUse;
+        }
+        return inUse == 0 ? 0 : needed / static_cast<double>(inUse);
+    }
+
     std::vector<zone_need> needsByZone(const Catalog::service& service, const plan_input& input)
     {
         const Catalog::scaling_bounds& bounds = *service.scaling;
+        const double forEvacuated = neededForEvacuated(bounds, input);
         std::vector<zone_need> needs;
         for (const auto& [zone, price] : bounds.zonePrices) {
+            if (input.evacuated.contains(zone))
+                continue;
             zone_need need;
             need.zone = zone;
             need.price = price;
-            need.needed = busyEnginesOf(input, zone, bounds.zonePrices.size()) / targetUtilization;
+            need.needed = busyEnginesOf(input, zone, bounds.zonePrices.size()) / targetUtilization + forEvacuated;
             const auto supply = input.supply.find(zone);
             need.supplied = supply == input.supply.end() ? 0 : supply->second.reclaimable;
             need.presentPlain = supply == input.supply.end() ? 0 : supply->second.plain;
@@ -225,6 +243,7 @@
         input.demand = demandByZone(demand, name, now);
         input.supply = countSupply(endpoints, name);
         input.exhausted = exhaustedZones(orders, name, now);
+        input.evacuated = planState.evacuated;
         initial_supply& initial = planState.initial[name];
         if (input.demand.empty() && !updateInitialSupply(initial, totalOf(input.supply), registrationTime, now))
             continue;
--- a/Source/Core/Scaling/Plan.h
+++ b/Source/Core/Scaling/Plan.h
@@ -53,6 +53,7 @@
     std::map<Common::service_name, initial_supply> initial;
     std::map<order_target, uint32_t> wanted; ///< Result of the last plan.
     std::map<order_target, Common::instant> lowerSince; ///< When the planned count first fell below `wanted`.
+    std::set<Common::zone_name> evacuated; ///< Zones whose endpoints get no requests; nothing is ordered there.
 };
 
 /// Input of the plan for one service.
@@ -61,6 +62,7 @@
     supply_map supply; ///< Ready endpoints.
     std::set<Common::zone_name> exhausted {}; ///< Zones that recently had no reclaimable endpoints available.
     uint32_t initialCount { 0 }; ///< See initial_supply::count.
+    std::set<Common::zone_name> evacuated {}; ///< Their demand is served by the other zones.
 };
 
 /// @param service a service with scaling bounds; the plan is empty without them.
--- a/Source/Core/Scaling/Tests/ScalingTest.cpp
+++ b/Source/Core/Scaling/Tests/ScalingTest.cpp
@@ -7,6 +7,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 namespace {
 
@@ -53,6 +55,34 @@
 
 TEST_GROUP(Plan) {};
 
+// Guards against orders in a zone that operators have evacuated, and against its demand being planned for nowhere.
+TEST(Plan, TheDemandOfEvacuatedZonesIsPlannedForInTheOthers)
+{
+    struct row {
+        const char* condition;
+        std::set<Common::zone_name> evacuated;
+        std::set<std::string> zones; ///< With a plan.
+    };
+    const row rows[] = {
+        { "none", {}, { "a", "b", "c" } },
+        { "one", { { "a" } }, { "b", "c" } },
+        { "two", { { "a" }, { "c" } }, { "b" } },
+        { "all", { { "a" }, { "b" }, { "c" } }, {} },
+    };
+    for (const row& item : rows) {
+        plan_input input;
+        input.demand = makeDemand(0.9, 0.9, 0.9);
+        input.evacuated = item.evacuated;
+        const wanted_map wanted = planEndpoints(makeService(), input);
+        std::set<std::string> zones;
+        for (const auto& [target, count] : wanted)
+            zones.insert(target.zone.value);
+        CHECK_TRUE_TEXT(zones == item.zones, item.condition);
+        // 2.7 busy endpoints need 3.6 at the target utilization.
+        CHECK_TRUE_TEXT(zones.empty() || sum(wanted, true) + sum(wanted, false) >= 4, item.condition);
+    }
+}
+
 TEST(Plan, EndpointsLeftAfterLosingAnyZoneCoverTheDemand)
 {
     struct row {
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -59,6 +59,8 @@
     constexpr double cacheShareOfMemory = 0.6;
     constexpr uint64_t assumedMemoryTokens = 300000;
     constexpr milliseconds minRetryAfter { 200 };
+    /// About the time in which endpoints that a region has lost are replaced.
+    constexpr milliseconds retryAfterOutsideHomes { 2000 };
     /// After this time without an observation, a request that would be refused by earlier ones is placed as a trial.
     constexpr milliseconds trialInterval { 1000 };
 
@@ -198,6 +200,8 @@
     {
         if (endpoint.facts.service != request.service || !isReady(state, endpoint.facts))
             return false;
+        if (!mayUseZone(state.ownLocation, limits, endpoint.facts.zone))
+            return false;
         if (limits.onlyVersion && endpoint.facts.version != *limits.onlyVersion)
             return false;
         if (limits.neverVersion && endpoint.facts.version == *limits.neverVersion)
@@ -276,9 +280,23 @@
         return best;
     }
 
-    refusal refuseWithoutEndpoint(const scheduler_state& state, const Common::service_name& service, Common::instant now)
+    /// @return whether an endpoint is ready that only the regions of the limits rule out.
+    bool isRuledOutByRegion(const scheduler_state& state, const placement_request& request, placement_limits limits)
+    {
+        const auto isAnyEligible = [&] {
+            return std::any_of(state.endpoints.begin(), state.endpoints.end(), [&](const auto& entry) { return isEligible(state, entry.second, request, limits); });
+        };
+        if (!limits.onlyRegions || isAnyEligible())
+            return false;
+        limits.onlyRegions.reset();
+        return isAnyEligible();
+    }
+
+    refusal refuseWithoutEndpoint(const scheduler_state& state, const placement_request& request, const placement_limits& limits, Common::instant now)
     {
-        const milliseconds left = backoffLeft(state, service, now);
+        if (isRuledOutByRegion(state, request, limits))
+            return { refusal_reason::OutsideHomes, retryAfterOutsideHomes };
+        const milliseconds left = backoffLeft(state, request.service, now);
         if (left.count() > 0)
             return { refusal_reason::BackingOff, left };
         return { refusal_reason::NoEndpoint, minRetryAfter };
@@ -392,6 +410,16 @@
     state.endpoints.erase(id);
 }
 
+bool mayUseZone(const location& own, const placement_limits& limits, const Common::zone_name& zone)
+{
+    if (limits.neverZones.contains(zone))
+        return false;
+    if (!limits.onlyRegions)
+        return true;
+    const auto region = own.regions.find(zone);
+    return region != own.regions.end() && limits.onlyRegions->contains(region->second);
+}
+
 tl::expected<placement, refusal> place(scheduler_state& state, const placement_request& request, const placement_limits& limits, Common::instant now)
 {
     std::vector<limited_candidate> limited;
@@ -402,7 +430,7 @@
     if (!best.endpoint && !limited.empty())
         return tl::unexpected(refusal { refusal_reason::Limited, minRetryAfter, selectBetter(limited, std::numeric_limits<double>::infinity()) });
     if (!best.endpoint)
-        return tl::unexpected(refuseWithoutEndpoint(state, request.service, now));
+        return tl::unexpected(refuseWithoutEndpoint(state, request, limits, now));
     const double left = toMs(request.deadline - now);
     const candidate trial = best.predicted > left ? findTrial(state, request, limits, left, now) : candidate {};
     if (trial.endpoint)
@@ -546,6 +574,8 @@
     switch (reason) {
     case refusal_reason::NoEndpoint:
         return "no_endpoint";
+    case refusal_reason::OutsideHomes:
+        return "no_endpoint_in_home_region";
     case refusal_reason::BackingOff:
         return "backing_off";
     case refusal_reason::Limited:
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -97,6 +97,7 @@
 
 enum class refusal_reason {
     NoEndpoint, ///< No endpoint of the service is known or allowed.
+    OutsideHomes, ///< Endpoints are ready, but none in a region in which the request may be served.
     BackingOff, ///< No endpoint wants requests now.
     Limited, ///< All endpoints that could serve the request take no more requests now.
     TooLate, ///< No endpoint is predicted to begin before the deadline.
@@ -115,8 +116,13 @@
     std::optional<Common::version_name> onlyVersion;
     std::optional<Common::version_name> neverVersion {};
     std::set<Common::endpoint_id> limited {}; ///< Endpoints that take no more requests now.
+    std::optional<std::set<Common::region_name>> onlyRegions {}; ///< Where the request may be served; empty: anywhere.
+    std::set<Common::zone_name> neverZones {}; ///< Availability zones that get no requests.
 };
 
+/// @return whether requests under these limits may go to endpoints of the zone.
+bool mayUseZone(const location& own, const placement_limits& limits, const Common::zone_name& zone);
+
 /// Adds or updates an endpoint. If it was restarted or its address changed, its load and cache estimates are reset.
 void updateEndpoint(scheduler_state& state, const Fleet::endpoint& endpoint, Common::instant now);
 /// Removes an endpoint and all that was recorded about it.
