What callers send is bounded over all of them, in bytes and connections

Beast keeps a trailer or a chunk extension in its buffer until it is complete, and the buffer had no bound.

Change: a session's buffer holds a head and 4 KiB; a longer trailer or extension gets 431. Gateway/InputBudget counts what requests hold that are read or answered, parsed heads included: over an eighth of the memory the largest request without progress is refused with 503 and Retry-After, small ones last. At half of the descriptors the longest silent connection is closed. The directory takes no bodies over 1 KiB and a sixteenth of the descriptors at each listener. A listener without free descriptors waits 50 ms before it tries again.

--- a/Source/Core/Directory/DirectoryDuty.cpp
+++ b/Source/Core/Directory/DirectoryDuty.cpp
@@ -10,11 +10,15 @@
     constexpr int okStatus = 200;
     constexpr int notFoundStatus = 404;
     constexpr int unavailableStatus = 503;
+    /// No question has a body.
+    constexpr uint64_t maxBodyBytes = 1024;
 
     Http::server_settings makeServerSettings(const directory_settings& settings)
     {
         Http::server_settings serverSettings;
         serverSettings.listen = settings.listen;
+        serverSettings.maxConnections = settings.maxConnections;
+        serverSettings.maxBodyBytes = maxBodyBytes;
         return serverSettings;
     }
 
--- a/Source/Core/Directory/DirectoryDuty.h
+++ b/Source/Core/Directory/DirectoryDuty.h
@@ -40,6 +40,7 @@
     std::vector<std::string> listen; ///< IP addresses and ports to listen on.
     std::chrono::milliseconds addressLife { 2000 }; ///< Time to live of an answer: how long callers may cache it.
     question_format format;
+    size_t maxConnections { 4096 }; ///< At each address.
 };
 
 class directory_duty {
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Log.h"
 
+#include <algorithm>
 #include <array>
 
 #include <boost/asio/buffer.hpp>
@@ -37,6 +38,16 @@
     /// Added to the idle timeout: a caller may reuse a connection just before the timeout, and that request must arrive.
     constexpr std::chrono::milliseconds idleSlack { 5000 };
     constexpr std::chrono::milliseconds progressInterval { 250 };
+    /// Beast keeps bytes here until it can parse them, so a buffer without a bound grows with an endless trailer or chunk
+    /// extension. Somewhat more than a head, so that a head that is too large is told apart.
+    constexpr size_t bufferBytesBesideHead = 4096;
+    /// A larger buffer is given back between requests.
+    constexpr size_t keptBufferBytes = 8192;
+    /// Memory of a header line besides its characters, here and in the parser.
+    constexpr size_t bytesPerHeaderLine = 256;
+    /// Time in which the requests that hold the memory are answered or time out.
+    constexpr const char* overloadedRetryAfterSeconds = "1";
+    constexpr int unavailableStatus = 503;
 
     std::string writeHead(int status, const std::vector<Http::header>& headers, bool closes)
     {
@@ -72,7 +83,8 @@
 
     int statusOf(const error_code& error)
     {
-        if (error == http::error::header_limit)
+        // Only trailers and chunk extensions fill the buffer before they can be parsed.
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
             return headTooLargeStatus;
         if (error == http::error::body_limit)
             return bodyTooLargeStatus;
@@ -87,9 +99,10 @@
 
 } // namespace
 
-caller_session::caller_session(tcp::socket socket, const session_events& events)
+caller_session::caller_session(tcp::socket socket, const session_events& events, connection_id id)
     : m_socket(std::move(socket))
     , m_events(events)
+    , m_id(id)
     , m_timer(m_socket.get_executor())
     , m_progressTimer(m_socket.get_executor())
 {
@@ -158,6 +171,9 @@
     m_isReading = false;
     if (m_buffer.size() > 0)
         return readHead();
+    if (m_buffer.capacity() > keptBufferBytes)
+        m_buffer.shrink_to_fit();
+    m_events.onInput(*this, m_requests > 0 ? input_stage::Idle : input_stage::Unused, m_buffer.capacity());
     armTimer(m_events.limits().idleTimeout + idleSlack);
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
         if (error || self->m_isClosed || self->m_isClosing)
@@ -172,6 +188,10 @@
     m_isReading = true;
     m_parser->header_limit(limits.headerBytes);
     m_parser->body_limit(limits.bodyBytes);
+    m_buffer.max_size(std::max(m_buffer.size(), limits.headerBytes + bufferBytesBesideHead));
+    m_headerBytes = 0;
+    if (!recordRequest(input_stage::Reading))
+        return rejectOverloaded();
     armTimer(limits.headerTimeout);
     http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code& error, size_t) {
         self->handleHead(error);
@@ -182,14 +202,18 @@
 {
     if (m_isClosed)
         return;
+    if (m_isRefused)
+        return rejectOverloaded();
     if (error)
         return handleReadError(error);
     const auto& head = m_parser->get();
     if (isAmbiguous(head))
         return rejectAndClose(badRequestStatus);
     m_headers.clear();
-    for (const auto& line : head)
+    for (const auto& line : head) {
         m_headers.push_back({ std::string(line.name_string()), std::string(line.value()) });
+        m_headerBytes += bytesPerHeaderLine + line.name_string().size() + line.value().size();
+    }
     if (boost::beast::iequals(head[http::field::expect], "100-continue"))
         send("HTTP/1.1 100 Continue\r\n\r\n");
     readBody();
@@ -197,21 +221,61 @@
 
 void caller_session::readBody()
 {
+    m_parser->eager(true);
+    armTimer(bodyTimeout);
+    readMoreBody();
+}
+
+void caller_session::readMoreBody()
+{
+    if (!recordRequest(input_stage::Reading))
+        return rejectOverloaded();
     if (m_parser->is_done())
         return deliverRequest();
-    armTimer(bodyTimeout);
-    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code& error, size_t) {
+    http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code& error, size_t) {
         if (self->m_isClosed)
             return;
+        if (self->m_isRefused)
+            return self->rejectOverloaded();
         if (error)
             return self->handleReadError(error);
-        self->deliverRequest();
+        self->readMoreBody();
     });
 }
 
+bool caller_session::recordRequest(input_stage stage)
+{
+    return m_events.onInput(*this, stage, m_buffer.capacity() + m_headerBytes + m_parser->get().body().size());
+}
+
+void caller_session::refuseInput()
+{
+    if (m_isClosed || m_isClosing || m_isRefused)
+        return;
+    m_isRefused = true;
+    Common::logEvent(Common::log_level::Warning, "input_refused", { { "state", nameOfState() }, { "bytes", m_buffer.capacity() + m_headerBytes + m_parser->get().body().size() } });
+    // Ends the pending read, whose handler then refuses the request.
+    error_code ignored;
+    m_socket.cancel(ignored);
+}
+
+void caller_session::rejectOverloaded()
+{
+    disarmTimer();
+    m_isReading = false;
+    m_isResponding = true;
+    m_mustClose = true;
+    m_headers.clear();
+    m_parser.emplace();
+    m_buffer = boost::beast::flat_buffer();
+    m_events.onInput(*this, input_stage::Answering, 0);
+    respond(unavailableStatus, { { "Content-Type", "application/json" }, { "Retry-After", overloadedRetryAfterSeconds } }, R"({"error":"input_memory"})", true);
+}
+
 void caller_session::deliverRequest()
 {
     disarmTimer();
+    recordRequest(input_stage::Answering);
     auto& message = m_parser->get();
     m_isReading = false;
     m_isResponding = true;
@@ -259,6 +323,8 @@
     m_isReading = false;
     m_isResponding = true;
     m_mustClose = true;
+    m_parser.emplace();
+    m_events.onInput(*this, input_stage::Answering, m_buffer.capacity());
     respond(status, { { "Content-Type", "application/json" } }, R"({"error":"malformed_request"})", true);
 }
 
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -8,6 +8,7 @@
 /// must be rejected.
 
 #include "Catalog/Catalog.h"
+#include "Gateway/InputBudget.h"
 #include "Gateway/PeerProgress.h"
 #include "Http/Server.h"
 
@@ -45,6 +46,9 @@
     std::function<void(caller_session&)> onCallerDisconnected;
     /// The connection is closed. If a response was pending, onCallerDisconnected follows.
     std::function<void(caller_session&)> onClosed;
+    /// The connection is used for something else, or its request holds more.
+    /// @return false if the request has to be refused because those of all callers hold too much.
+    std::function<bool(caller_session&, input_stage, size_t bytes)> onInput;
     /// @return the current limits on requests.
     std::function<Catalog::input_limits()> limits;
 };
@@ -53,7 +57,7 @@
 public:
     using tcp = boost::asio::ip::tcp;
 
-    caller_session(tcp::socket socket, const session_events& events);
+    caller_session(tcp::socket socket, const session_events& events, connection_id id);
 
     /// Waits for the first request.
     void start();
@@ -72,6 +76,9 @@
     void closeWhenIdle();
     /// @return whether no request is being read and no response is pending.
     bool isIdle() const;
+    connection_id id() const { return m_id; }
+    /// Refuses the request that is being read and closes the connection.
+    void refuseInput();
     /// @return bytes of responses that the caller hasn't read.
     size_t unreadBytes() const { return m_outboxBytes; }
     /// @return what the session is doing, as log lines name it.
@@ -83,6 +90,10 @@
     void awaitRequest();
     void readHead();
     void readBody();
+    void readMoreBody();
+    /// @return false if the request is refused.
+    bool recordRequest(input_stage stage);
+    void rejectOverloaded();
     void handleHead(const boost::system::error_code& error);
     void deliverRequest();
     void handleReadError(const boost::system::error_code& error);
@@ -105,6 +116,7 @@
 
     tcp::socket m_socket;
     const session_events& m_events;
+    connection_id m_id;
     boost::asio::steady_timer m_timer;
     uint64_t m_timerArmings { 0 }; ///< Tells a time limit that was replaced after its expiry was queued.
     boost::asio::steady_timer m_progressTimer;
@@ -112,6 +124,7 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<request_parser> m_parser;
     std::vector<Http::header> m_headers;
+    size_t m_headerBytes { 0 }; ///< Held by the parsed head of the request that is being read.
     std::deque<std::string> m_outbox;
     size_t m_outboxBytes { 0 };
     uint64_t m_requests { 0 };
@@ -119,6 +132,7 @@
     bool m_isProgressWatched { false };
     bool m_isResponding { false };
     bool m_isReading { false };
+    bool m_isRefused { false }; ///< The request that is being read is refused once its pending read has ended.
     bool m_isHeadRequest { false };
     bool m_mustClose { false };
     bool m_isClosing { false };
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -13,6 +13,7 @@
 #include "Gateway/CrashWatch.h"
 #include "Gateway/EndpointDeclarations.h"
 #include "Gateway/HeldBytes.h"
+#include "Gateway/InputBudget.h"
 #include "Gateway/Leaving.h"
 #include "Gateway/PathMonitor.h"
 #include "Gateway/Placement.h"
@@ -21,7 +22,6 @@
 #include <algorithm>
 #include <atomic>
 #include <unordered_map>
-#include <unordered_set>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -49,6 +49,7 @@
     constexpr milliseconds maxTokenWait { 400 };
     /// An event is forwarded when it is complete, so an endless one would fill the memory.
     constexpr size_t maxEventBytes = size_t { 256 } * 1024;
+    constexpr milliseconds acceptRetryDelay { 50 };
 
     Common::instant clockNow()
     {
@@ -99,7 +100,10 @@
     std::vector<gateway_message> batch;
     session_events sessionEvents;
     channel_pool channels { context };
-    std::unordered_set<caller_session_pointer> sessions;
+    std::unordered_map<uint64_t, caller_session_pointer> sessions; ///< By connection_id.
+    connection_id lastConnection;
+    input_budget input;
+    boost::asio::steady_timer acceptTimer { context };
     std::unordered_map<caller_session*, std::unique_ptr<proxied_call>> calls;
     std::atomic<size_t> callCount { 0 };
     size_t unsummedBytes { 0 }; ///< Received from endpoints since the bytes held were summed up last.
@@ -134,16 +138,58 @@
             else if (!acceptor.is_open())
                 return;
             else
-                Common::logEvent(Common::log_level::Warning, "accept_failed", { { "problem", error.message() } });
+                return acceptLater(error);
             accept();
         });
     }
 
+    /// Without free descriptors another try would fail at once.
+    void acceptLater(const error_code& failure)
+    {
+        Common::logEvent(Common::log_level::Warning, "accept_failed", { { "problem", failure.message() } });
+        acceptTimer.expires_after(acceptRetryDelay);
+        acceptTimer.async_wait([this](const error_code& error) {
+            if (!error && acceptor.is_open())
+                accept();
+        });
+    }
+
     void startSession(tcp::socket socket)
     {
-        auto session = std::make_shared<caller_session>(std::move(socket), sessionEvents);
-        sessions.insert(session);
+        ++lastConnection.value;
+        auto session = std::make_shared<caller_session>(std::move(socket), sessionEvents, lastConnection);
+        sessions.emplace(lastConnection.value, session);
         session->start();
+        closeExcessConnections();
+    }
+
+    input_bounds currentInputBounds() const
+    {
+        return makeInputBounds(settings.facts.limits, sessionEvents.limits());
+    }
+
+    void closeExcessConnections()
+    {
+        while (const auto excess = chooseExcessConnection(input, currentInputBounds(), clockNow())) {
+            Common::countMetric("filbertreel_connections_closed_for_descriptors_total");
+            const caller_session_pointer session = sessions.at(excess->value);
+            session->abort();
+        }
+    }
+
+    /// @return false if the session's own request has to be refused.
+    bool recordSessionInput(const caller_session& session, input_stage stage, size_t bytes)
+    {
+        recordInput(input, session.id(), stage, bytes, clockNow());
+        while (const auto excess = chooseExcessRequest(input, currentInputBounds(), clockNow())) {
+            Common::countMetric("filbertreel_requests_refused_for_memory_total");
+            // Its memory is given back before anything else is read.
+            recordInput(input, *excess, input_stage::Answering, 0, clockNow());
+            if (*excess == session.id())
+                return false;
+            sessions.at(excess->value)->refuseInput();
+        }
+        return true;
     }
 
     /// Serves the connections that the system has accepted for this process, and then accepts no more.
@@ -164,7 +210,11 @@
     {
         sessionEvents.onRequest = [this](const caller_session_pointer& session, arrived_request&& request) { handleRequest(session, std::move(request)); };
         sessionEvents.onCallerDisconnected = [this](caller_session& session) { abandon(session); };
-        sessionEvents.onClosed = [this](caller_session& session) { sessions.erase(session.shared_from_this()); };
+        sessionEvents.onClosed = [this](caller_session& session) {
+            releaseInput(input, session.id());
+            sessions.erase(session.id().value);
+        };
+        sessionEvents.onInput = [this](caller_session& session, input_stage stage, size_t bytes) { return recordSessionInput(session, stage, bytes); };
         sessionEvents.limits = [this] { return state.catalog ? state.catalog->limits : Catalog::input_limits {}; };
     }
 
@@ -791,7 +841,10 @@
 
     void closeIdleSessions()
     {
-        for (const caller_session_pointer& session : std::vector<caller_session_pointer>(sessions.begin(), sessions.end()))
+        std::vector<caller_session_pointer> open;
+        for (const auto& [id, session] : sessions)
+            open.push_back(session);
+        for (const caller_session_pointer& session : open)
             session->closeWhenIdle();
     }
 
@@ -805,7 +858,7 @@
     {
         for (const auto& [session, call] : calls)
             logCut(*call, clockNow());
-        for (const caller_session_pointer& session : sessions) {
+        for (const auto& [id, session] : sessions) {
             if (!session->isIdle() && !calls.contains(session.get()))
                 Common::logEvent(Common::log_level::Warning, "session_cut", { { "state", session->nameOfState() } });
         }
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -13,6 +13,7 @@
 #include "platform/RolloutCodec.h"
 #include "platform/SettingsFile.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
@@ -37,6 +38,9 @@
     /// Share of the grace period after which a leaving node stops even if its gateway hasn't ended.
     constexpr double maxLeaveShareOfGrace = 0.97;
     constexpr milliseconds submitRetryInterval { 10 };
+    /// Connections to each listener of the directory; further ones wait to be accepted.
+    constexpr size_t minDirectoryConnections = 64;
+    constexpr size_t directoryPartsOfDescriptors = 16;
 
     Fleet::node_entry makeNodeEntry(const Fleet::node_facts& facts, Common::incarnation_number incarnation)
     {
@@ -80,6 +84,7 @@
         settings.listen.push_back(facts.ip + ":" + std::to_string(facts.lastPeerPort));
         settings.addressLife = addressLifeOf(facts);
         settings.format = PlatformAdapter::makeDirectoryFormat();
+        settings.maxConnections = std::max<size_t>(minDirectoryConnections, facts.limits.fileDescriptors / directoryPartsOfDescriptors);
         return settings;
     }
 
