Even load from old knowledge: fading load estimates and agreed holders of prompt parts

Cause: the fourth figure of the load header made nodes drop the other three.

Change: the header is read as far as it is known. For services whose endpoints state the fourth figure, a report fades into the mean of the service's endpoints within the time that a request lasts, others' requests count with the prompts that they still have, and all nodes of a region agree by rendezvous hashing on the holder of a shared part, which counts with the reading that it saves. No message, no question to an engine.

--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -1,5 +1,7 @@
 #include "Scheduling/Scheduler.h"
 
+#include "Scheduling/PromptHolders.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -38,6 +40,14 @@
     /// Each score is raised by a random share of up to this. Nodes don't know each other's placements; without the jitter
     /// they would all choose the same of many equal endpoints.
     constexpr double maxScoreJitter = 0.15;
+    /// The same where nodes agree on the holders of prompt parts, which spreads requests already.
+    constexpr double maxHolderScoreJitter = 0.05;
+    /// Of fewer endpoints in a region each soon holds most parts, and a node's own memory says which.
+    constexpr size_t minEndpointsForHolders = 6;
+    /// Reading tokens that another endpoint holds delays the requests behind them as well.
+    constexpr double readingWeight = 2;
+    /// A node has few samples of each of many endpoints, so their factors count by half, as an exponent.
+    constexpr double latencyFactorWeight = 0.5;
     /// Weight of a new sample in the latency factor of an endpoint and of a service.
     constexpr double endpointFactorRate = 0.15;
     constexpr double serviceFactorRate = 0.05;
@@ -109,13 +119,17 @@
         regression.unloadedMsPerToken += (sample - regression.unloadedMsPerToken) * (sample < regression.unloadedMsPerToken ? lowerSampleRate : higherSampleRate);
     }
 
+    bool isInOwnRegion(const scheduler_state& state, const endpoint_state& endpoint)
+    {
+        const auto region = state.ownLocation.regions.find(endpoint.facts.zone);
+        return region != state.ownLocation.regions.end() && region->second == state.ownLocation.region;
+    }
+
     double distancePenaltyMs(const scheduler_state& state, const endpoint_state& endpoint)
     {
         if (endpoint.facts.zone == state.ownLocation.zone)
             return 0;
-        const auto region = state.ownLocation.regions.find(endpoint.facts.zone);
-        const bool isNear = region != state.ownLocation.regions.end() && region->second == state.ownLocation.region;
-        return isNear ? otherZonePenaltyMs : otherRegionPenaltyMs;
+        return isInOwnRegion(state, endpoint) ? otherZonePenaltyMs : otherRegionPenaltyMs;
     }
 
     double countUncachedTokens(const endpoint_state& endpoint, const model_request& model)
@@ -124,11 +138,21 @@
         return model.promptTokens > cached ? model.promptTokens - cached : 0;
     }
 
-    uint32_t countRequestsOfOtherNodes(const endpoint_state& endpoint, Common::instant now)
+    const service_load& serviceLoadOf(const scheduler_state& state, const Common::service_name& service)
+    {
+        static const service_load unknown;
+        const auto found = state.serviceLoads.find(service);
+        return found == state.serviceLoads.end() ? unknown : found->second;
+    }
+
+    double countRequestsOfOtherNodes(const scheduler_state& state, const endpoint_state& endpoint, Common::instant now)
     {
-        if (!endpoint.reported || now - endpoint.reportedAt > maxReportedLoadAge)
+        const service_load& service = serviceLoadOf(state, endpoint.facts.service);
+        if (service.hasSharedMachines)
+            return estimateOthers(service, endpoint.reported, now);
+        if (!endpoint.reported || now - endpoint.reported->at > maxReportedLoadAge)
             return 0;
-        const uint32_t total = endpoint.reported->running + endpoint.reported->waiting;
+        const uint32_t total = endpoint.reported->load.running + endpoint.reported->load.waiting;
         const auto own = static_cast<uint32_t>(endpoint.placed.size());
         return total > own ? total - own : 0;
     }
@@ -140,47 +164,52 @@
     }
 
     /// @return the time of a plain request by the endpoint's load, for an endpoint of usual speed.
-    double expectPlainMs(const endpoint_state& endpoint, Common::instant now)
+    double expectPlainMs(const scheduler_state& state, const endpoint_state& endpoint, Common::instant now)
     {
-        const double requestsAhead = static_cast<double>(endpoint.placed.size()) + countRequestsOfOtherNodes(endpoint, now);
+        const double requestsAhead = static_cast<double>(endpoint.placed.size()) + countRequestsOfOtherNodes(state, endpoint, now);
         const double rounds = std::floor(requestsAhead / endpoint.facts.slots) + 1;
         return plainRequestMs * rounds + requestsAhead;
     }
 
     /// @return the time to the first event by the request's work and the endpoint's load, for an endpoint of usual speed.
-    double expectModelMs(const linear_fit& fit, const endpoint_state& endpoint, double uncachedTokens, Common::instant now)
+    double expectModelMs(const scheduler_state& state, const linear_fit& fit, const endpoint_state& endpoint, double uncachedTokens, Common::instant now)
     {
         const double prefillMs = (endpoint.waitingTokens + uncachedTokens) * fit.msPerToken;
-        const double batchMs = (static_cast<double>(endpoint.placed.size()) + countRequestsOfOtherNodes(endpoint, now)) * msPerConcurrentRequest;
-        return fit.baseMs + prefillMs + batchMs;
+        const double others = countRequestsOfOtherNodes(state, endpoint, now);
+        const double batchMs = (static_cast<double>(endpoint.placed.size()) + others) * msPerConcurrentRequest;
+        const service_load& service = serviceLoadOf(state, endpoint.facts.service);
+        if (!service.hasSharedMachines)
+            return fit.baseMs + prefillMs + batchMs;
+        const double othersPrefillMs = estimatePrefillOfOthersMs(service, others, fit.msPerToken);
+        return (fit.baseMs + prefillMs + batchMs + othersPrefillMs) * estimatePace(endpoint.reported, now);
     }
 
     double expectMs(const scheduler_state& state, const endpoint_state& endpoint, const placement_request& request, double uncachedTokens, Common::instant now)
     {
-        return request.model ? expectModelMs(fitPrefillTime(state, endpoint.facts.service), endpoint, uncachedTokens, now) : expectPlainMs(endpoint, now);
+        return request.model ? expectModelMs(state, fitPrefillTime(state, endpoint.facts.service), endpoint, uncachedTokens, now) : expectPlainMs(state, endpoint, now);
     }
 
     /// @return the time to the first event without anything learned from observed times.
-    double assumeMs(const endpoint_state& endpoint, const placement_request& request, double uncachedTokens, Common::instant now)
+    double assumeMs(const scheduler_state& state, const endpoint_state& endpoint, const placement_request& request, double uncachedTokens, Common::instant now)
     {
-        return request.model ? expectModelMs(linear_fit {}, endpoint, uncachedTokens, now) : expectPlainMs(endpoint, now);
+        return request.model ? expectModelMs(state, linear_fit {}, endpoint, uncachedTokens, now) : expectPlainMs(state, endpoint, now);
     }
 
     double predictModelMs(const scheduler_state& state, const endpoint_state& endpoint, double uncachedTokens, Common::instant now)
     {
-        return expectModelMs(fitPrefillTime(state, endpoint.facts.service), endpoint, uncachedTokens, now) * endpoint.latencyFactor * serviceLatencyFactorOf(state, endpoint.facts.service);
+        return expectModelMs(state, fitPrefillTime(state, endpoint.facts.service), endpoint, uncachedTokens, now) * endpoint.latencyFactor * serviceLatencyFactorOf(state, endpoint.facts.service);
     }
 
-    double predictPlainMs(const endpoint_state& endpoint, Common::instant now)
+    double predictPlainMs(const scheduler_state& state, const endpoint_state& endpoint, Common::instant now)
     {
-        const double requestsAhead = static_cast<double>(endpoint.placed.size()) + countRequestsOfOtherNodes(endpoint, now);
+        const double requestsAhead = static_cast<double>(endpoint.placed.size()) + countRequestsOfOtherNodes(state, endpoint, now);
         const double rounds = std::floor(requestsAhead / endpoint.facts.slots) + 1;
         return plainRequestMs * rounds * endpoint.latencyFactor + requestsAhead;
     }
 
     double predictMs(const scheduler_state& state, const endpoint_state& endpoint, const placement_request& request, double uncachedTokens, Common::instant now)
     {
-        const double ms = request.model ? predictModelMs(state, endpoint, uncachedTokens, now) : predictPlainMs(endpoint, now);
+        const double ms = request.model ? predictModelMs(state, endpoint, uncachedTokens, now) : predictPlainMs(state, endpoint, now);
         return now < endpoint.warmUpEnd ? ms * warmUpFactor : ms;
     }
 
@@ -209,6 +238,30 @@
         return !limits.avoided.contains(endpoint.facts.id);
     }
 
+    /// @return the endpoints that hold the request's shared prompt parts, of a service whose endpoints share their machines.
+    std::vector<prompt_holder> findHolders(const scheduler_state& state, const placement_request& request, const placement_limits& limits)
+    {
+        if (!request.model || !serviceLoadOf(state, request.service).hasSharedMachines)
+            return {};
+        std::vector<Common::endpoint_id> near;
+        for (const auto& [id, endpoint] : state.endpoints) {
+            // Endpoints that a single request may not use again still hold the part.
+            if (endpoint.facts.service == request.service && isReady(state, endpoint.facts) && isInOwnRegion(state, endpoint) && mayUseZone(state.ownLocation, limits, endpoint.facts.zone))
+                near.push_back(id);
+        }
+        return near.size() < minEndpointsForHolders ? std::vector<prompt_holder> {} : findPromptHolders(*request.model, near);
+    }
+
+    /// @return the prompt tokens that the endpoint has to process.
+    double expectUncachedTokens(const endpoint_state& endpoint, const placement_request& request, const std::vector<prompt_holder>& holders)
+    {
+        if (!request.model)
+            return 0;
+        const double uncached = countUncachedTokens(endpoint, *request.model);
+        const auto holder = std::find_if(holders.begin(), holders.end(), [&](const prompt_holder& item) { return item.endpoint == endpoint.facts.id; });
+        return holder == holders.end() ? uncached : std::min(uncached, request.model->promptTokens - holder->cachedTokens);
+    }
+
     struct candidate {
         endpoint_state* endpoint { nullptr };
         double uncachedTokens { 0 };
@@ -218,6 +271,33 @@
         double learned { 0 }; ///< Of a trial: the prediction that would refuse it.
     };
 
+    double scoreOf(scheduler_state& state, const candidate& item)
+    {
+        return (item.predicted + distancePenaltyMs(state, *item.endpoint)) * (1 + maxScoreJitter * Common::uniformUnit(state.random));
+    }
+
+    /// @return prefill time per token. The slope of the regression is too low while what other nodes have sent is unknown.
+    double prefillMsPerToken(const scheduler_state& state, const Common::service_name& service)
+    {
+        const auto regression = state.prefillRegressions.find(service);
+        const bool isMeasured = regression != state.prefillRegressions.end() && regression->second.unloadedMsPerToken > 0;
+        return std::max(fitPrefillTime(state, service).msPerToken, isMeasured ? regression->second.unloadedMsPerToken : initialMsPerToken);
+    }
+
+    /// Where nodes agree on the holders of prompt parts, what has to be read decides before what a node believes of the load.
+    double scoreAmongHolders(scheduler_state& state, const placement_request& request, const candidate& item, Common::instant now)
+    {
+        const endpoint_state& endpoint = *item.endpoint;
+        const double msPerToken = prefillMsPerToken(state, request.service);
+        const double others = countRequestsOfOtherNodes(state, endpoint, now);
+        const double othersMs = estimatePrefillOfOthersMs(serviceLoadOf(state, request.service), others, msPerToken);
+        const double waitMs = (others + static_cast<double>(endpoint.placed.size())) * msPerConcurrentRequest + othersMs + endpoint.waitingTokens * msPerToken;
+        const double readMs = item.uncachedTokens * msPerToken * readingWeight;
+        const double slowness = std::pow(endpoint.latencyFactor, latencyFactorWeight) * estimatePace(endpoint.reported, now);
+        const double ms = initialBaseMs + (readMs + waitMs) * slowness + distancePenaltyMs(state, endpoint);
+        return ms * (1 + maxHolderScoreJitter * Common::uniformUnit(state.random));
+    }
+
     /// An endpoint that takes no more requests now.
     struct limited_candidate {
         Common::endpoint_id endpoint;
@@ -228,6 +308,7 @@
     candidate findBest(scheduler_state& state, const placement_request& request, const placement_limits& limits, bool includesEjected, std::vector<limited_candidate>& limited, Common::instant now)
     {
         candidate best;
+        const std::vector<prompt_holder> holders = findHolders(state, request, limits);
         limited.clear();
         for (auto& [id, endpoint] : state.endpoints) {
             if (!isEligible(state, endpoint, request, limits) || now < backoffEndOf(state, endpoint.facts))
@@ -235,9 +316,9 @@
             if (!includesEjected && now < endpoint.ejectedUntil)
                 continue;
             candidate next { &endpoint };
-            next.uncachedTokens = request.model ? countUncachedTokens(endpoint, *request.model) : 0;
+            next.uncachedTokens = expectUncachedTokens(endpoint, request, holders);
             next.predicted = predictMs(state, endpoint, request, next.uncachedTokens, now);
-            next.score = (next.predicted + distancePenaltyMs(state, endpoint)) * (1 + maxScoreJitter * Common::uniformUnit(state.random));
+            next.score = holders.empty() ? scoreOf(state, next) : scoreAmongHolders(state, request, next, now);
             if (limits.limited.contains(id))
                 limited.push_back({ id, next.score });
             else if (!best.endpoint || next.score < best.score)
@@ -269,7 +350,7 @@
             candidate next { &endpoint };
             next.uncachedTokens = request.model ? countUncachedTokens(endpoint, *request.model) : 0;
             next.learned = predictMs(state, endpoint, request, next.uncachedTokens, now);
-            next.predicted = assumeMs(endpoint, request, next.uncachedTokens, now);
+            next.predicted = assumeMs(state, endpoint, request, next.uncachedTokens, now);
             if (next.predicted > leftMs || next.learned <= leftMs || !isTrialDue(state, next, leftMs, now))
                 continue;
             if (!best.endpoint || next.predicted < best.predicted)
@@ -472,6 +553,7 @@
     updateLatencyFactors(state, *found, placed->second, actualMs, now);
     if (placed->second.uncachedTokens > 0)
         addPrefillSample(state.prefillRegressions[found->facts.service], placed->second.tokensAhead, actualMs, actualMs / placed->second.serviceLatencyFactor);
+    placed->second.firstEventMs = actualMs;
     stopWaiting(*found, placed->second);
 }
 
@@ -487,6 +569,8 @@
     if (!placed->second.hasBegun && end == placement_end::Abandoned && waitedMs > placed->second.predictedMs)
         updateLatencyFactors(state, *found, placed->second, waitedMs, now);
     stopWaiting(*found, placed->second);
+    if (end == placement_end::Served && placed->second.uncachedTokens > 0)
+        recordServedRequest(state.serviceLoads[found->facts.service], placed->second.uncachedTokens, placed->second.firstEventMs, waitedMs);
     found->placed.erase(placed);
     switch (end) {
     case placement_end::Served:
@@ -536,8 +620,8 @@
     endpoint_state* found = find(state, endpoint);
     if (!found)
         return;
-    found->reported = load;
-    found->reportedAt = now;
+    found->reported = load_report { load, static_cast<uint32_t>(found->placed.size()), now };
+    recordReport(state.serviceLoads[found->facts.service], *found->reported);
 }
 
 double engineMs(const scheduler_state& state, const Common::service_name& service, double uncachedTokens, const model_request& model)
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -8,6 +8,7 @@
 #include "Common/Random.h"
 #include "Fleet/EndpointRegistry.h"
 #include "Scheduling/Declarations.h"
+#include "Scheduling/LoadEstimate.h"
 #include "Scheduling/PromptCache.h"
 #include "Scheduling/Work.h"
 
@@ -32,6 +33,7 @@
     double tokensAhead { 0 }; ///< Prompt tokens to process before its first event, its own included.
     double learnedMs { 0 }; ///< Of a trial: the prediction by which it would have been refused; otherwise zero.
     bool hasBegun { false }; ///< Its first event or answer has arrived.
+    double firstEventMs { 0 }; ///< Time to it.
 };
 
 /// What this node has observed of one endpoint.
@@ -39,8 +41,7 @@
     Fleet::endpoint facts;
     std::map<placement_id, placed_work> placed;
     double waitingTokens { 0 }; ///< Uncached prompt tokens of placed requests without a first event.
-    std::optional<reported_load> reported; ///< Last load reported by the endpoint.
-    Common::instant reportedAt;
+    std::optional<load_report> reported; ///< Last load reported by the endpoint.
     double latencyFactor { 1 }; ///< Correction of predicted times, adapted to the observed ones.
     Common::instant learnedAt; ///< When the correction was last adapted, or a trial began.
     prompt_cache cache;
@@ -76,6 +77,7 @@
     /// Recent correction of predicted times over all endpoints of a service. It captures load caused by other nodes: a
     /// single node uses each endpoint too rarely to measure that per endpoint.
     std::map<Common::service_name, double> serviceLatencyFactors;
+    std::map<Common::service_name, service_load> serviceLoads;
     /// When a first event of the service was last observed, or a trial began.
     std::map<Common::service_name, Common::instant> learnedAt;
     Common::random_source random { 1 };
--- a/Source/Core/Scheduling/Work.h
+++ b/Source/Core/Scheduling/Work.h
@@ -33,6 +33,8 @@
     uint32_t running { 0 };
     uint32_t waiting { 0 };
     uint32_t slots { 0 };
+    /// How long work takes because of other work on the endpoint's machine, in percent of the usual time; empty: not stated.
+    std::optional<uint32_t> pacePercent {};
 };
 
 /// One request that needs an endpoint; without a model it is a plain service call.
