--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -42,7 +42,7 @@
     /// extension. Somewhat more than a head, so that a head that is too large is told apart.
     constexpr size_t bufferBytesBesideHead = 4096;
     /// A larger buffer is given back between requests.
-    constexpr size_t keptBufferBytes = 8192;
+    constexpr size_t keptBufferBytes = 2048;
     /// Memory of a header line besides its characters, here and in the parser.
     constexpr size_t bytesPerHeaderLine = 256;
     /// Time in which the requests that hold the memory are answered or time out.
