Warm-up counts among holders; one function for a target's path; connections that are closed twice are left out

The score among holders left out the warm-up factor, pathOf stood twice, and a connection that the input budget knows but the gateway has closed would have ended the process (not seen).

--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -22,11 +22,6 @@
     /// A leaving node admits a request only if its expected duration is below this share of the time left.
     constexpr double maxExpectedShareOfTimeLeft = 0.4;
 
-    std::string_view pathOf(std::string_view target)
-    {
-        return target.substr(0, target.find('?'));
-    }
-
     /// Finds the client account that the request's key belongs to.
     /// @return whether the key is valid or the route needs none.
     bool authorize(proxied_call& call)
@@ -75,6 +70,11 @@
 
 } // namespace
 
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
 std::optional<request_rejection> admit(gateway_state& state, proxied_call& call)
 {
     call.catalog = state.catalog;
--- a/Source/Core/Gateway/Admission.h
+++ b/Source/Core/Gateway/Admission.h
@@ -24,6 +24,10 @@
     bool isRetryTimeExact { false }; ///< An earlier retry would be rejected as well.
 };
 
+/// @param target path and query of a request.
+/// @return its path.
+std::string_view pathOf(std::string_view target);
+
 /// @param state the request and its use of the account's allowance are recorded in it.
 /// @param call a request that has just arrived; its route, account, service and deadline are set.
 /// @return the rejection, or nothing when the request is admitted.
--- a/Source/Core/Gateway/GatewayDuty.cpp
+++ b/Source/Core/Gateway/GatewayDuty.cpp
@@ -172,8 +172,11 @@
     {
         while (const auto excess = chooseExcessConnection(input, currentInputBounds(), clockNow())) {
             Common::countMetric("filbertreel_connections_closed_for_descriptors_total");
-            const caller_session_pointer session = sessions.at(excess->value);
-            session->abort();
+            const auto found = sessions.find(excess->value);
+            const caller_session_pointer session = found == sessions.end() ? nullptr : found->second;
+            releaseInput(input, *excess);
+            if (session)
+                session->abort();
         }
     }
 
@@ -187,7 +190,9 @@
             recordInput(input, *excess, input_stage::Answering, 0, clockNow());
             if (*excess == session.id())
                 return false;
-            sessions.at(excess->value)->refuseInput();
+            const auto found = sessions.find(excess->value);
+            if (found != sessions.end())
+                found->second->refuseInput();
         }
         return true;
     }
--- a/Source/Core/Gateway/HomeRegions.cpp
+++ b/Source/Core/Gateway/HomeRegions.cpp
@@ -1,19 +1,12 @@
 #include "Gateway/HomeRegions.h"
 
+#include "Gateway/Admission.h"
+
 #include <algorithm>
 #include <iterator>
 
 namespace Gateway {
 
-namespace {
-
-    std::string_view pathOf(std::string_view target)
-    {
-        return target.substr(0, target.find('?'));
-    }
-
-} // namespace
-
 allowed_regions combineHomes(const Catalog::route& route, const Catalog::account* account)
 {
     const bool hasRouteHomes = !route.homes.empty();
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -293,7 +293,8 @@
         const double othersMs = estimatePrefillOfOthersMs(serviceLoadOf(state, request.service), others, msPerToken);
         const double waitMs = (others + static_cast<double>(endpoint.placed.size())) * msPerConcurrentRequest + othersMs + endpoint.waitingTokens * msPerToken;
         const double readMs = item.uncachedTokens * msPerToken * readingWeight;
-        const double slowness = std::pow(endpoint.latencyFactor, latencyFactorWeight) * estimatePace(endpoint.reported, now);
+        const double warmUp = now < endpoint.warmUpEnd ? warmUpFactor : 1;
+        const double slowness = std::pow(endpoint.latencyFactor, latencyFactorWeight) * estimatePace(endpoint.reported, now) * warmUp;
         const double ms = initialBaseMs + (readMs + waitMs) * slowness + distancePenaltyMs(state, endpoint);
         return ms * (1 + maxHolderScoreJitter * Common::uniformUnit(state.random));
     }
