PlatformForeignAnswers counts arrivals by the request's id, at the end of a row

Traced: an endpoint may read a request only after its caller has got the answer, as the early refusal ends the exchange; the arrival then counted for the next request.

The check is as strict: each request has its own id, arrivals are counted by id when all have been answered, so one that comes late counts too.

--- a/Tests/Platform/ForeignAnswersTest.cpp
+++ b/Tests/Platform/ForeignAnswersTest.cpp
@@ -5,6 +5,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+
 namespace {
 
 using namespace PlatformTests;
@@ -24,6 +26,17 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// @return how many requests with this id have reached any endpoint.
+size_t countArrivals(const running_gateway& gateway, const std::string& id)
+{
+    size_t count = 0;
+    for (const auto& endpoint : gateway.endpoints) {
+        for (const std::string& request : endpoint->requests())
+            count += request.find("X-Filbertreel-Attempt-Id: " + id + "\r\n") != std::string::npos ? 1 : 0;
+    }
+    return count;
+}
+
 std::string soundAnswerOf(const std::string& target)
 {
     return target == "/stream/x" || target == "/resume/x" ? streamHead + wholeStream : completeAnswer;
@@ -92,12 +105,18 @@
     };
     for (const row& item : rows) {
         running_gateway gateway({ item.answers, item.answers });
+        std::map<std::string, int> statuses; ///< By the request's id.
         for (int request = 0; request < 3; ++request) {
-            const size_t arrivedBefore = gateway.arrivals();
+            const std::string id = "call" + std::to_string(request);
+            std::string text = makeRequest(item.target);
+            text.replace(text.find("id7"), 3, id);
             raw_caller caller(gateway.port);
-            caller.send(makeRequest(item.target));
-            const int status = statusOf(caller.receive());
-            const size_t arrived = gateway.arrivals() - arrivedBefore;
+            caller.send(text);
+            statuses[id] = statusOf(caller.receive());
+        }
+        // Counted by id and at the end: an endpoint may read a request only after its caller has got the answer.
+        for (const auto& [id, status] : statuses) {
+            const size_t arrived = countArrivals(gateway, id);
             CHECK_TEXT(status > 0 && !(isPromise(status) && arrived > 0), item.condition);
             CHECK_TEXT(arrived <= 1 || std::string(item.target) == "/idem/x", item.condition);
         }
