A node logs why it can't apply a relay's changes, and how old its copies of the store's tables are

Change: relayed_changes_missed names the reason once until changes are applied again; store_lost has the age of the copy; filbertreel_table_copy_age_seconds for each table.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -17,8 +17,11 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <set>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace Control {
 
 namespace {
@@ -48,6 +51,7 @@
     node_rows nodeRows { context };
     Store::table_watch statusWatch; ///< Polled only while a rollout is in progress.
     table_relay relay;
+    std::set<std::string> missedTables; ///< Tables of which the relay's last changes couldn't be applied.
     quarantine_rows quarantines { context, outlets };
     std::pair<Store::store_era, Store::row_version> decodedCatalogRow; ///< The last row of the catalog that the store had.
     uint64_t announcedVersion { 0 }; ///< Of the catalog, the newest that a peer has announced.
@@ -82,7 +86,7 @@
     void handleWatchEvent(const Store::table_watch& watch, const Store::watch_event& event, const Store::rows_answer& answer)
     {
         if (event.hasFailed)
-            Common::logEvent(Common::log_level::Warning, "store_lost", { { "table", watch.settings.table }, { "newest", watch.newest.value }, { "received_bytes", answer.receivedBytes }, { "call_ms", answer.elapsed.count() }, { "relay_heard_ms", relayHeardAge().count() } });
+            Common::logEvent(Common::log_level::Warning, "store_lost", { { "table", watch.settings.table }, { "newest", watch.newest.value }, { "received_bytes", answer.receivedBytes }, { "call_ms", answer.elapsed.count() }, { "relay_heard_ms", relayHeardAge().count() }, { "copy_age_ms", copyAge(watch).count() } });
         if (!event.hasReturned)
             return;
         Common::logEvent(Common::log_level::Info, "store_regained", { { "table", watch.settings.table }, { "newest", watch.newest.value } });
@@ -259,26 +263,63 @@
         if (relay.isRelay || !context.storeClock)
             return;
         for (const Store::relayed_changes& changes : message.tables)
-            applyTableChanges(changes, now);
-    }
-
-    void applyTableChanges(const Store::relayed_changes& changes, Common::instant now)
-    {
-        const Common::instant confirmedAt = localTimeOf(*context.storeClock, changes.confirmedAt);
-        if (changes.table == endpointWatch.settings.table) {
-            if (changes.returnedAt.value > 0)
-                Fleet::startMissingEntryGrace(context.endpoints, localTimeOf(*context.storeClock, changes.returnedAt));
-            if (Store::applyRelayed(endpointWatch, changes, confirmedAt, now))
-                endpointRowsChanged();
-        } else if (changes.table == operatorWatch.settings.table) {
-            if (Store::applyRelayed(operatorWatch, changes, confirmedAt, now))
-                operatorRowsChanged();
-        } else if (changes.table == nodeRows.watch.settings.table) {
-            if (Store::applyRelayed(nodeRows.watch, changes, confirmedAt, now))
-                nodeRowsChanged();
-        } else if (changes.table == statusWatch.settings.table) {
-            if (Store::applyRelayed(statusWatch, changes, confirmedAt, now))
-                statusRowsChanged();
+            applyTableChanges(changes, message.from, now);
+    }
+
+    void applyTableChanges(const Store::relayed_changes& changes, const Common::node_id& from, Common::instant now)
+    {
+        Store::table_watch* watch = findTable(changes.table);
+        if (!watch)
+            return;
+        if (watch == &endpointWatch && changes.returnedAt.value > 0)
+            Fleet::startMissingEntryGrace(context.endpoints, localTimeOf(*context.storeClock, changes.returnedAt));
+        logMissedChanges(*watch, changes, from);
+        if (Store::applyRelayed(*watch, changes, localTimeOf(*context.storeClock, changes.confirmedAt), now))
+            tableChanged(*watch);
+    }
+
+    Store::table_watch* findTable(const std::string& name)
+    {
+        const auto tables = followedTables();
+        const auto found = std::find_if(tables.begin(), tables.end(), [&name](const Store::table_watch* watch) { return watch->settings.table == name; });
+        return found == tables.end() ? nullptr : *found;
+    }
+
+    void tableChanged(const Store::table_watch& watch)
+    {
+        if (&watch == &operatorWatch)
+            operatorRowsChanged();
+        else if (&watch == &endpointWatch)
+            endpointRowsChanged();
+        else if (&watch == &nodeRows.watch)
+            nodeRowsChanged();
+        else
+            statusRowsChanged();
+    }
+
+    /// Logs why a relay's changes can't be applied, once until some are applied again.
+    void logMissedChanges(const Store::table_watch& watch, const Store::relayed_changes& changes, const Common::node_id& from)
+    {
+        const Store::change_fit fit = Store::fitOf(watch, changes);
+        if (fit == Store::change_fit::Applies) {
+            missedTables.erase(watch.settings.table);
+            return;
+        }
+        if (missedTables.insert(watch.settings.table).second)
+            Common::logEvent(Common::log_level::Warning, "relayed_changes_missed", { { "table", watch.settings.table }, { "reason", Store::nameOf(fit) }, { "from", from.value }, { "after", changes.after.value }, { "newest", watch.newest.value }, { "copy_age_ms", copyAge(watch).count() }, { "store_answers", !watch.isFailing } });
+    }
+
+    /// @return time since the copy was last known to be current.
+    static milliseconds copyAge(const Store::table_watch& watch)
+    {
+        return std::chrono::duration_cast<milliseconds>(Common::bootClockNow() - watch.confirmedAt);
+    }
+
+    void publishCopyAges()
+    {
+        for (const Store::table_watch* watch : followedTables()) {
+            if (watch->confirmedAt != Common::instant {})
+                Common::setMetric(fmt::format("filbertreel_table_copy_age_seconds{{table=\"{}\"}}", watch->settings.table), std::chrono::duration<double>(copyAge(*watch)).count());
         }
     }
 
@@ -464,6 +505,7 @@
         if (isActive(rollouts.tracker))
             follow(statusWatch, &implementation::statusRowsChanged);
         relayChanges(now);
+        publishCopyAges();
         tickRollouts(rollouts, now);
         dropMissingEndpoints(now);
         registerSelf(nodeRows, now);
--- a/Source/Core/Store/ChangeRelay.cpp
+++ b/Source/Core/Store/ChangeRelay.cpp
@@ -151,11 +151,40 @@
     return changes;
 }
 
+change_fit fitOf(const table_watch& watch, const relayed_changes& changes)
+{
+    if (!watch.isComplete)
+        return change_fit::Incomplete;
+    if (changes.era < watch.era)
+        return change_fit::EarlierEra;
+    if (changes.era > watch.era)
+        return change_fit::LaterEra;
+    return changes.after > watch.newest ? change_fit::Gap : change_fit::Applies;
+}
+
+const char* nameOf(change_fit fit)
+{
+    switch (fit) {
+    case change_fit::Applies:
+        return "applies";
+    case change_fit::Incomplete:
+        return "incomplete";
+    case change_fit::EarlierEra:
+        return "earlier_era";
+    case change_fit::LaterEra:
+        return "later_era";
+    case change_fit::Gap:
+        return "gap";
+    }
+    return "unknown";
+}
+
 bool applyRelayed(table_watch& watch, const relayed_changes& changes, Common::instant confirmedAt, Common::instant now)
 {
-    if (!watch.isComplete || changes.era < watch.era)
+    const change_fit fit = fitOf(watch, changes);
+    if (fit == change_fit::Incomplete || fit == change_fit::EarlierEra)
         return false;
-    if (changes.era > watch.era || changes.after > watch.newest) {
+    if (fit != change_fit::Applies) {
         readStoreNow(watch, now);
         return false;
     }
--- a/Source/Core/Store/ChangeRelay.h
+++ b/Source/Core/Store/ChangeRelay.h
@@ -54,6 +54,23 @@
 /// read the store.
 relayed_changes takeChanges(relay_outbox& outbox, const table_watch& watch);
 
+/// Whether changes from a relay follow on a copy.
+enum class change_fit {
+    Applies,
+    Incomplete, ///< The copy isn't complete yet.
+    EarlierEra, ///< The changes are of an earlier era of the store.
+    LaterEra,
+    Gap, ///< The copy lacks earlier changes.
+};
+
+/// @param watch a copy.
+/// @param changes as received.
+/// @return whether the changes follow on the copy.
+change_fit fitOf(const table_watch& watch, const relayed_changes& changes);
+
+/// @return the name in logs.
+const char* nameOf(change_fit fit);
+
 /// Applies changes from a relay to a copy.
 /// @param watch the copy. Its next call is made at once if earlier changes or the base of a compressed row are missing,
 /// else only when the confirmation is older than watch_settings::maxAge.
