A node asks peers for the state of a table that neither its relay nor the store keeps current

Cause: a copy of a table had one source at a time. A gap in the relayed changes could only be filled by the store, a relay without the store ignored other relays, and a node alone in its zone had nobody; a removal is told by no notice of a peer. Ruled out: that the node knows and sends late (its log has no such change). Change: a copy that wasn't confirmed for 1.5 s is asked for at peers, every 250 ms, the zone's relay first; they answer if theirs is newer, with the later rows and the keys of the others. A relay that the store doesn't answer takes what other relays send. Endpoints and the operators' rows; older programs don't answer. Why this works: what any reachable node knows reaches a node within the bound without the store; a state replaces the copy as a whole, so it leaves no gap.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -10,6 +10,7 @@
 #include "Control/QuarantineRows.h"
 #include "Control/RolloutRunner.h"
 #include "Control/StoreCallIntervals.h"
+#include "Control/TablePulls.h"
 #include "Control/TableRelay.h"
 #include "Control/UsageRelay.h"
 #include "Store/TableWatch.h"
@@ -59,6 +60,7 @@
     Common::instant nextCatalogRequest;
     bool isCatalogHeld { false }; ///< The gateway gets it once the quarantined fingerprints are known.
     usage_relay usageRelay { context, outlets, usage };
+    table_pulls pulls { context, outlets };
     std::string catalogText; ///< The catalog in the platform's format, for peers that can't reach the store.
     bool wasHolder { false };
     uint64_t publishedFleetSize { 0 };
@@ -259,8 +261,7 @@
     {
         const Common::instant now = Common::bootClockNow();
         recordRelayHeard(relay, context.settings.self.node, message.from, now);
-        // A relay has its own copies from the store; another one's changes would leave gaps in what it sends.
-        if (relay.isRelay || !context.storeClock)
+        if (!context.storeClock)
             return;
         for (const Store::relayed_changes& changes : message.tables)
             applyTableChanges(changes, message.from, now);
@@ -269,13 +270,46 @@
     void applyTableChanges(const Store::relayed_changes& changes, const Common::node_id& from, Common::instant now)
     {
         Store::table_watch* watch = findTable(changes.table);
-        if (!watch)
+        // A relay has its own copies from the store, unless the store doesn't answer it.
+        if (!watch || (relay.isRelay && !watch->isFailing))
             return;
         if (watch == &endpointWatch && changes.returnedAt.value > 0)
             Fleet::startMissingEntryGrace(context.endpoints, localTimeOf(*context.storeClock, changes.returnedAt));
         logMissedChanges(*watch, changes, from);
-        if (Store::applyRelayed(*watch, changes, localTimeOf(*context.storeClock, changes.confirmedAt), now))
-            tableChanged(*watch);
+        const bool hasChanged = Store::applyRelayed(*watch, changes, localTimeOf(*context.storeClock, changes.confirmedAt), now);
+        peerStateApplied(*watch, hasChanged);
+    }
+
+    void peerStateApplied(const Store::table_watch& watch, bool hasChanged)
+    {
+        // What a relay has from others is no change that it has read itself.
+        if (relay.isRelay && hasChanged)
+            resetOutbox(relay.outboxes[watch.settings.table], watch);
+        if (hasChanged)
+            tableChanged(watch);
+    }
+
+    void handle(table_state_requested&& message)
+    {
+        const Store::table_watch* watch = findTable(message.query.table);
+        if (watch)
+            answerPeer(pulls, *watch, message);
+    }
+
+    void handle(table_state_received&& message)
+    {
+        const Store::relayed_changes& changes = message.state.changes;
+        Store::table_watch* watch = findTable(changes.table);
+        if (!watch || !context.storeClock)
+            return;
+        if (watch == &endpointWatch && changes.returnedAt.value > 0)
+            Fleet::startMissingEntryGrace(context.endpoints, localTimeOf(*context.storeClock, changes.returnedAt));
+        const bool hasChanged = Store::applyState(*watch, message.state, localTimeOf(*context.storeClock, changes.confirmedAt), Common::bootClockNow());
+        if (hasChanged) {
+            missedTables.erase(changes.table);
+            Common::logEvent(Common::log_level::Info, "table_state_applied", { { "table", changes.table }, { "from", message.from.value }, { "newest", changes.newest.value }, { "store_answers", !watch->isFailing } });
+        }
+        peerStateApplied(*watch, hasChanged);
     }
 
     Store::table_watch* findTable(const std::string& name)
@@ -505,6 +539,7 @@
         if (isActive(rollouts.tracker))
             follow(statusWatch, &implementation::statusRowsChanged);
         relayChanges(now);
+        queryPeers(pulls, { &operatorWatch, &endpointWatch }, currentRelay(relay, context.settings.self.node, now), now);
         publishCopyAges();
         tickRollouts(rollouts, now);
         dropMissingEndpoints(now);
--- a/Source/Core/Control/ControlDuty.h
+++ b/Source/Core/Control/ControlDuty.h
@@ -10,7 +10,7 @@
 #include "Fleet/NodeFacts.h"
 #include "Gateway/GatewayDuty.h"
 #include "Rollout/Rollout.h"
-#include "Store/ChangeRelay.h"
+#include "Store/TableState.h"
 
 #include <algorithm>
 #include <functional>
@@ -64,6 +64,18 @@
     std::vector<Store::relayed_changes> tables;
 };
 
+/// A peer asks for the state of a table of the store.
+struct table_state_requested {
+    Common::node_id from;
+    Store::state_query query;
+};
+
+/// A peer has sent the state of a table.
+struct table_state_received {
+    Common::node_id from;
+    Store::table_state state;
+};
+
 /// A node of this zone has sent its usage counts, to be written to the store.
 struct usage_counts_received {
     Common::node_id from;
@@ -92,7 +104,7 @@
     Fleet::node_facts facts;
 };
 
-using control_message = std::variant<gateway_interval_reported, peer_demand_received, endpoint_leaving_received, catalog_version_announced, catalog_received, catalog_requested, dead_nodes_updated, table_changes_received, usage_counts_received, usage_counts_confirmed, quarantines_changed, leave_started, leave_finished, settings_reloaded, Gateway::attempt_report, Rollout::peer_evidence, Rollout::peer_latch>;
+using control_message = std::variant<gateway_interval_reported, peer_demand_received, endpoint_leaving_received, catalog_version_announced, catalog_received, catalog_requested, dead_nodes_updated, table_changes_received, table_state_requested, table_state_received, usage_counts_received, usage_counts_confirmed, quarantines_changed, leave_started, leave_finished, settings_reloaded, Gateway::attempt_report, Rollout::peer_evidence, Rollout::peer_latch>;
 
 /// Peers announce different versions.
 inline void replaceState(catalog_version_announced& older, catalog_version_announced newer)
@@ -115,6 +127,9 @@
     std::function<void(const Common::node_id& peer, uint64_t version, std::string text)> sendCatalog;
     /// Sends changes of the store's tables to other nodes.
     std::function<void(std::vector<Common::node_id> receivers, std::vector<Store::relayed_changes> tables)> relayChanges;
+    /// Asks a peer for the state of a table; may be empty.
+    std::function<void(const Common::node_id& peer, const Store::state_query& query)> requestTableState {};
+    std::function<void(const Common::node_id& peer, Store::table_state&& state)> sendTableState {};
     /// Sends usage counts, as rows with key and value, to the node that writes them to the store.
     std::function<void(const Common::node_id& relay, uint64_t sequence, std::vector<std::pair<std::string, std::string>> rows)> sendUsageCounts;
     std::function<void(const Common::node_id& node, uint64_t sequence)> confirmUsageCounts;
--- a/Source/Core/Membership/PeerCodec.cpp
+++ b/Source/Core/Membership/PeerCodec.cpp
@@ -248,6 +248,31 @@
     return item;
 }
 
+void encodeStateQuery(const Store::state_query& item, filbertreel::peer::table_state_query& record)
+{
+    record.set_table(item.table);
+    record.set_era(item.era.value);
+    record.set_after_version(item.after.value);
+    record.set_confirmed_at_ms(item.confirmedAt.value);
+}
+
+Store::state_query decodeStateQuery(const filbertreel::peer::table_state_query& record)
+{
+    return { record.table(), { record.era() }, { record.after_version() }, { record.confirmed_at_ms() } };
+}
+
+void encodeTableState(const Store::table_state& item, filbertreel::peer::table_state& record)
+{
+    encodeTableChanges(item.changes, *record.mutable_changes());
+    for (const std::string& key : item.keptKeys)
+        record.add_kept_keys(key);
+}
+
+Store::table_state decodeTableState(const filbertreel::peer::table_state& record)
+{
+    return { decodeTableChanges(record.changes()), { record.kept_keys().begin(), record.kept_keys().end() } };
+}
+
 void encodeGrants(const Quota::node_report& item, filbertreel::peer::grant_report& record)
 {
     record.set_is_leasing(item.isLeasing);
--- a/Source/Core/Membership/PeerCodec.h
+++ b/Source/Core/Membership/PeerCodec.h
@@ -11,7 +11,7 @@
 #include "Quarantine/RequestQuarantine.h"
 #include "Quota/Quota.h"
 #include "Scaling/Demand.h"
-#include "Store/ChangeRelay.h"
+#include "Store/TableState.h"
 
 namespace filbertreel::peer {
 class configuration_changes;
@@ -24,6 +24,8 @@
 class quarantine_statement;
 class rollout_evidence;
 class table_changes;
+class table_state;
+class table_state_query;
 }
 
 namespace Membership {
@@ -84,6 +86,20 @@
 /// @return the changes.
 Store::relayed_changes decodeTableChanges(const filbertreel::peer::table_changes& record);
 
+/// @param item a query for the state of a table.
+/// @param record receives the encoded query.
+void encodeStateQuery(const Store::state_query& item, filbertreel::peer::table_state_query& record);
+/// @param record a query as received.
+/// @return the query.
+Store::state_query decodeStateQuery(const filbertreel::peer::table_state_query& record);
+
+/// @param item the state of a table.
+/// @param record receives the encoded state.
+void encodeTableState(const Store::table_state& item, filbertreel::peer::table_state& record);
+/// @param record a state as received.
+/// @return the state.
+Store::table_state decodeTableState(const filbertreel::peer::table_state& record);
+
 /// @param item this node's grants to client accounts.
 /// @param record the grants are appended to it.
 void encodeGrants(const Quota::node_report& item, filbertreel::peer::grant_report& record);
--- a/Source/Core/Membership/PeerDuty.cpp
+++ b/Source/Core/Membership/PeerDuty.cpp
@@ -252,6 +252,20 @@
             sendTo(id, outgoing);
     }
 
+    void handle(pull_table_state&& message)
+    {
+        envelope outgoing;
+        encodeStateQuery(message.query, *outgoing.mutable_table_state_query());
+        sendTo(message.peer, outgoing);
+    }
+
+    void handle(reply_table_state&& message)
+    {
+        envelope outgoing;
+        encodeTableState(message.state, *outgoing.mutable_table_state());
+        sendTo(message.peer, outgoing);
+    }
+
     void handle(push_usage_counts&& message)
     {
         envelope outgoing;
@@ -477,6 +491,14 @@
             return handleCatalogText(message.catalog_text());
         case envelope::kRelayedTables:
             return handleTableChanges(sender, message.relayed_tables());
+        case envelope::kTableStateQuery:
+            if (outlets.tableStateRequested)
+                outlets.tableStateRequested(sender, decodeStateQuery(message.table_state_query()));
+            return;
+        case envelope::kTableState:
+            if (outlets.tableStateReceived)
+                outlets.tableStateReceived(sender, decodeTableState(message.table_state()));
+            return;
         case envelope::kQuarantineStatements:
             return handleQuarantineStatements(sender, message.quarantine_statements());
         case envelope::kEndpointLimits:
--- a/Source/Core/Membership/PeerDuty.h
+++ b/Source/Core/Membership/PeerDuty.h
@@ -13,7 +13,7 @@
 #include "Quota/Quota.h"
 #include "Rollout/Rollout.h"
 #include "Scaling/Demand.h"
-#include "Store/ChangeRelay.h"
+#include "Store/TableState.h"
 
 #include <atomic>
 #include <functional>
@@ -66,6 +66,18 @@
     std::vector<Store::relayed_changes> tables;
 };
 
+/// Ask a peer for the state of a table of the store.
+struct pull_table_state {
+    Common::node_id peer;
+    Store::state_query query;
+};
+
+/// Send a peer the state of a table.
+struct reply_table_state {
+    Common::node_id peer;
+    Store::table_state state;
+};
+
 /// Send a peer usage counts that it writes to the store for this node.
 struct push_usage_counts {
     Common::node_id receiver;
@@ -138,7 +150,7 @@
 };
 
 using peer_message = std::variant<seeds_changed, configuration_changed, leave_started, push_changes, pull_changes, reply_changes,
-    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog, push_table_changes, push_usage_counts, confirm_usage_counts, push_quarantine_statements, push_endpoint_limits, push_leases>;
+    push_endpoint_leaving, push_instances, send_loads, push_evidence, push_bad_version, offer_transfer, confirm_transfer, find_holder, confirm_holder, push_grants, pull_catalog, reply_catalog, push_table_changes, pull_table_state, reply_table_state, push_usage_counts, confirm_usage_counts, push_quarantine_statements, push_endpoint_limits, push_leases>;
 
 /// The messages that tell a state; all others are events.
 using peer_inbox = Common::duty_inbox<peer_message, seeds_changed, configuration_changed, leave_started>;
@@ -160,6 +172,8 @@
     std::function<void(const Common::node_id& peer, uint64_t after)> catalogRequested;
     std::function<void(uint64_t version, std::string&& text)> catalogReceived;
     std::function<void(const Common::node_id& peer, std::vector<Store::relayed_changes>&& tables)> tableChangesReceived;
+    std::function<void(const Common::node_id& peer, Store::state_query&& query)> tableStateRequested {}; ///< May be empty.
+    std::function<void(const Common::node_id& peer, Store::table_state&& state)> tableStateReceived {}; ///< May be empty.
     /// A peer has sent usage counts, as rows with key and value.
     std::function<void(const Common::node_id& peer, uint64_t sequence, std::vector<std::pair<std::string, std::string>>&& rows)> usageCountsReceived;
     std::function<void(uint64_t sequence)> usageCountsConfirmed;
--- a/Source/Filbertreeld/PlatformNode.cpp
+++ b/Source/Filbertreeld/PlatformNode.cpp
@@ -165,6 +165,8 @@
         outlets.relayChanges = [this](std::vector<Common::node_id> receivers, std::vector<Store::relayed_changes> tables) {
             Common::deliver(peers, Membership::push_table_changes { std::move(receivers), std::move(tables) });
         };
+        outlets.requestTableState = [this](const Common::node_id& peer, const Store::state_query& query) { Common::deliver(peers, Membership::pull_table_state { peer, query }); };
+        outlets.sendTableState = [this](const Common::node_id& peer, Store::table_state&& state) { Common::deliver(peers, Membership::reply_table_state { peer, std::move(state) }); };
         outlets.sendUsageCounts = [this](const Common::node_id& relay, uint64_t sequence, std::vector<std::pair<std::string, std::string>> rows) {
             Common::deliver(peers, Membership::push_usage_counts { relay, sequence, std::move(rows) });
         };
@@ -217,6 +219,8 @@
         outlets.tableChangesReceived = [this](const Common::node_id& peer, std::vector<Store::relayed_changes>&& tables) {
             Common::deliver(control, Control::table_changes_received { peer, std::move(tables) });
         };
+        outlets.tableStateRequested = [this](const Common::node_id& peer, Store::state_query&& query) { Common::deliver(control, Control::table_state_requested { peer, std::move(query) }); };
+        outlets.tableStateReceived = [this](const Common::node_id& peer, Store::table_state&& state) { Common::deliver(control, Control::table_state_received { peer, std::move(state) }); };
         return outlets;
     }
 
