A node keeps missing endpoints after an outage only when the store itself was away

Callers saw: with a store that fails one call in three of a node, endpoints that were removed stay in use for as long as it lasts. Cause: each answer after a failed call restarted the 2.2 s for which missing entries are kept, and a relay told it to its whole zone, also when the store had served everybody else. Change: the time starts only if the copy wasn't confirmed by anyone for 2 s; a shorter outage lets no entry expire (three intervals). PlatformRejectedNodes has four rows right after a silence; they are kept on too, as two nodes repeat calls sooner.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -92,7 +92,7 @@
         if (!event.hasReturned)
             return;
         Common::logEvent(Common::log_level::Info, "store_regained", { { "table", watch.settings.table }, { "newest", watch.newest.value } });
-        if (&watch == &endpointWatch)
+        if (event.wasAway && &watch == &endpointWatch)
             Fleet::startMissingEntryGrace(context.endpoints, Common::bootClockNow());
     }
 
--- a/Source/Core/Store/TableWatch.cpp
+++ b/Source/Core/Store/TableWatch.cpp
@@ -152,7 +152,8 @@
         return beginFullReadNow(watch, now);
     watch_event event;
     event.hasReturned = watch.isFailing;
-    if (event.hasReturned)
+    event.wasAway = event.hasReturned && now - watch.confirmedAt > minOutage;
+    if (event.wasAway)
         watch.returnedTime = answer.now;
     // Changes may have been missed during the failure, so all rows are read again.
     const bool needsFullRead = watch.isFailing && watch.isComplete;
--- a/Source/Core/Store/TableWatch.h
+++ b/Source/Core/Store/TableWatch.h
@@ -58,6 +58,9 @@
     store_time returnedTime; ///< When the store last answered again after an outage; zero: there was none.
 };
 
+/// A store that was away for a shorter time has let no entry expire.
+constexpr std::chrono::milliseconds minOutage { 2000 };
+
 /// Gives up versions and pages of an earlier era; the next call begins a full read. The rows stay until it is finished.
 /// @param watch changed in place.
 /// @param era the era that the store has told; ignored unless newer than the watch's.
@@ -82,6 +85,7 @@
 struct watch_event {
     bool hasChanged { false }; ///< Changes were applied, or a full read is finished.
     bool hasReturned { false }; ///< The store answers again after a failure.
+    bool wasAway { false }; ///< The same, and the copy wasn't confirmed meanwhile, by peers either: the store itself was away.
     bool hasFailed { false }; ///< The first failure after a successful call.
     bool isFullRead { false }; ///< A full read is due or in progress: the answer is no list of changes to the copy.
 };
--- a/Tests/Platform/RejectedNodesTest.cpp
+++ b/Tests/Platform/RejectedNodesTest.cpp
@@ -21,13 +21,16 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-/// The users' drainMs, from the store's acknowledgement.
-constexpr milliseconds drainBound { 5000 };
+/// The users' values of drainMs, from the store's acknowledgement.
+constexpr int usualBoundMs = 5000;
+constexpr int shortBoundMs = 3000;
 /// The time limit only ends a test that hangs: it is long enough for a slow machine.
 constexpr int waitLimitMs = 15000;
 /// Entries of so many endpoints are more than a relay sends in one message.
 constexpr int manyEndpoints = 300;
 constexpr int fewEndpoints = 2;
+/// Long enough for the longest delay between a node's calls to a store that doesn't answer.
+constexpr milliseconds silenceTime { 5000 };
 constexpr int requestsPerCheck = 30;
 
 enum class departure {
@@ -35,6 +38,11 @@
     Removed, ///< Its entry is removed without notice.
 };
 
+enum class moment {
+    WhileRejected,
+    AfterReturn, ///< Right after the store serves the node again.
+};
+
 struct row {
     const char* name;
     departure kind;
@@ -42,6 +50,8 @@
     path_state rejection; ///< How the store rejects the node.
     bool isRelay; ///< The rejected node relays the store's tables to its zone.
     bool isAlone; ///< In its zone.
+    moment when { moment::WhileRejected };
+    int boundMs { usualBoundMs };
 };
 
 const row rows[] = {
@@ -56,6 +66,10 @@
     { "drains, alone in its zone", departure::Drains, fewEndpoints, path_state::Reset, true, true },
     { "removed, alone in its zone", departure::Removed, fewEndpoints, path_state::Reset, true, true },
     { "removed among many, alone in its zone, silent", departure::Removed, manyEndpoints, path_state::Silent, true, true },
+    { "removed right after a silence", departure::Removed, fewEndpoints, path_state::OneWay, false, false, moment::AfterReturn, shortBoundMs },
+    { "removed right after a silence, the relay", departure::Removed, fewEndpoints, path_state::OneWay, true, false, moment::AfterReturn, shortBoundMs },
+    { "removed right after a silence, alone in its zone", departure::Removed, fewEndpoints, path_state::OneWay, true, true, moment::AfterReturn, shortBoundMs },
+    { "drains right after a silence, alone in its zone", departure::Drains, fewEndpoints, path_state::OneWay, true, true, moment::AfterReturn, shortBoundMs },
 };
 
 const std::string completeAnswer = "HTTP/1.1 200 OK\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.1\r\nContent-Length: 5\r\n\r\nhello";
@@ -143,8 +157,9 @@
     // The node with more cores relays.
     const std::string cores = item.isRelay ? "0.5" : "0.12";
     const std::string coresOfPeer = item.isRelay ? "0.12" : "0.5";
-    const running_node peer({ .name = "peer", .storeAddress = store.address(), .moreLines = { "limits.cpuShare=" + coresOfPeer, "bounds.drainMs=5000" } });
-    std::vector<std::string> lines { "limits.cpuShare=" + cores, "bounds.drainMs=5000" };
+    const std::string bound = "bounds.drainMs=" + std::to_string(item.boundMs);
+    const running_node peer({ .name = "peer", .storeAddress = store.address(), .moreLines = { "limits.cpuShare=" + coresOfPeer, bound } });
+    std::vector<std::string> lines { "limits.cpuShare=" + cores, bound };
     if (item.isAlone)
         lines.insert(lines.end(), { "zone=z2", "zones.z2=r" });
     const running_node node({ .name = "node", .storeAddress = link.address(), .moreLines = lines });
@@ -154,9 +169,13 @@
     if (!eventually([&] { return hasItsRole(item, node, peer); }))
         return "the nodes didn't agree on their roles";
     link.setState(item.rejection);
-    std::this_thread::sleep_for(milliseconds(1000));
+    std::this_thread::sleep_for(item.when == moment::WhileRejected ? milliseconds(1000) : silenceTime);
+    if (item.when == moment::AfterReturn) {
+        link.setState(path_state::Sound);
+        std::this_thread::sleep_for(milliseconds(100));
+    }
     leave(store, item, leaving.address());
-    std::this_thread::sleep_for(drainBound);
+    std::this_thread::sleep_for(milliseconds(item.boundMs));
     const size_t late = countRequests(leaving, node);
     if (late > 0)
         return std::to_string(late) + " of " + std::to_string(requestsPerCheck) + " requests reached the endpoint after the bound";
