An answer without a length that is reset during the upload is broken off, not complete

Cause: the system reports a reset once. If the write of the upload meets it, the read that follows sees a plain end, and that is how an answer with neither length nor chunks ends. Ruled out: answers with a length or chunks (no plain end ends them), uploads that were written whole (the read meets the reset), the client of the product's own interface. Change: such an answer counts as broken off if the write has failed. The write's failure is known first, since both belong to one thread and the write is tried first.

--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -79,6 +79,7 @@
     m_events = std::move(events);
     m_hasWritten = false;
     m_isWriteDone = false;
+    m_hasWriteFailed = false;
     m_isActive = true;
     m_informationalHeads = 0;
     ++m_exchanges;
@@ -129,6 +130,7 @@
         // An endpoint may respond and stop reading before it has the whole body, so a failed write does not end the
         // exchange; it only prevents the reuse of the connection.
         self->m_isWriteDone = !error;
+        self->m_hasWriteFailed = static_cast<bool>(error);
     });
     readHead();
 }
@@ -198,6 +200,9 @@
 
 void endpoint_channel::endBody()
 {
+    // The system reports a reset once. If the write met it, the read that follows sees a plain end.
+    if (m_parser->need_eof() && m_hasWriteFailed)
+        return finish(exchange_end::Broken);
     const bool mayWait = m_buffer.size() == 0 && !m_parser->need_eof() && m_events.surplusWait;
     const std::chrono::milliseconds wait = mayWait ? m_events.surplusWait() : std::chrono::milliseconds(0);
     if (wait.count() == 0)
--- a/Source/Core/Gateway/EndpointChannel.h
+++ b/Source/Core/Gateway/EndpointChannel.h
@@ -134,6 +134,7 @@
     bool m_isConnected { false };
     bool m_hasWritten { false };
     bool m_isWriteDone { false };
+    bool m_hasWriteFailed { false };
     bool m_isActive { false };
     bool m_isClosed { false };
 };
