A status outside of 100 to 599 is no answer

Callers got an endpoint's status 000 as 'HTTP/1.1 0', with the endpoint's proof of origin (MIXED); so did 001, 099, 600 and 999. Cause: the parser takes any three digits, and only the classes 2xx and 5xx were looked at. Change: the attempt counts as broken off, at the gateway's endpoints and relays, and the same at the client of the product's own interface, the store and the cloud. Status checks only connect; the directory reads no status. Two and four digits were refused already.

--- a/Source/Core/Gateway/EndpointChannel.cpp
+++ b/Source/Core/Gateway/EndpointChannel.cpp
@@ -15,6 +15,7 @@
 
     constexpr uint32_t responseHeadLimitBytes = 32768;
     constexpr unsigned informationalClass = 1;
+    constexpr unsigned serverFailureClass = 5;
     constexpr unsigned statusesPerClass = 100;
     /// An endpoint in trouble may send informational heads without end.
     constexpr unsigned maxInformationalHeads = 8;
@@ -152,7 +153,10 @@
     if (error)
         return finish(exchange_end::Broken);
     const auto& head = m_parser->get();
-    if (head.result_int() / statusesPerClass == informationalClass)
+    const unsigned statusClass = head.result_int() / statusesPerClass;
+    if (statusClass < informationalClass || statusClass > serverFailureClass)
+        return finish(exchange_end::Broken);
+    if (statusClass == informationalClass)
         return ++m_informationalHeads > maxInformationalHeads ? finish(exchange_end::Broken) : readHead();
     if (!m_events.onHead(makeHead()))
         return finish(exchange_end::Broken);
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+    constexpr long firstFinalStatus = 200;
+    constexpr long lastStatus = 599;
+
     struct transfer {
         transfer_id id { 0 };
         CURL* handle { nullptr };
@@ -58,7 +61,6 @@
     void handleHeadLine(transfer& item, std::string_view line)
     {
         constexpr std::string_view statusLineStart = "HTTP/";
-        constexpr long firstFinalStatus = 200;
         if (item.isHeadComplete)
             return;
         if (line.starts_with(statusLineStart)) {
@@ -125,11 +127,19 @@
         setHeaders(item);
     }
 
+    /// @return whether the status of the answer is one of the protocol.
+    bool hasStatus(CURL* handle)
+    {
+        long status = 0;
+        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+        return status >= firstFinalStatus && status <= lastStatus;
+    }
+
     transfer_end classify(const transfer& item, CURLcode code)
     {
         // libcurl takes the end of the connection for the end of a head without Content-Length.
         if (code == CURLE_OK)
-            return item.isHeadComplete ? transfer_end::Complete : transfer_end::Cut;
+            return item.isHeadComplete && hasStatus(item.handle) ? transfer_end::Complete : transfer_end::Cut;
         if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT)
             return transfer_end::NotSent;
         if (code != CURLE_OPERATION_TIMEDOUT)
--- a/Tests/Platform/ResetUploadsTest.cpp
+++ b/Tests/Platform/ResetUploadsTest.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// Endpoints that answer a long upload early and end the connection while it is still being written.
+/// Endpoints that answer a long upload early and end the connection while it is still being written, and answers whose
+/// status is none of the protocol.
 
 #include "Http/Client.h"
 #include "Platform/RunningGateway.h"
@@ -231,3 +232,41 @@
     }
     CHECK_EQUAL(0, failed);
 }
+
+/// An answer whose status is no status was forwarded to the caller.
+TEST(ResetUploads, AStatusOutsideOfTheProtocolIsNoAnswer)
+{
+    struct status_row {
+        const char* status;
+        bool isStatus;
+    };
+    const status_row statuses[] = { { "000", false }, { "001", false }, { "099", false }, { "20", false }, { "2000", false }, { "600", false }, { "999", false }, { "200", true }, { "299", true }, { "404", true }, { "599", true } };
+    int failed = 0;
+    for (const status_row& item : statuses) {
+        const std::string rest = std::string(" Oops\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.1\r\nContent-Length: 5\r\n\r\nhello");
+        const std::vector<const char*> targets = item.isStatus ? std::vector<const char*> { "/once/x" } : std::vector<const char*> { "/once/x", "/idem/x", "/stream/x", "/resume/x" };
+        for (const char* target : targets) {
+            scripted_endpoint endpoint({ { "HTTP/1.1 " + std::string(item.status) + rest, answer_end::Close } });
+            const std::string answer = askThrough(endpoint.address(), makeRequest(target));
+            const bool isForwarded = answer.find("X-Filbertreel-Server-Seal") != std::string::npos;
+            const bool isAsExpected = item.isStatus ? statusOf(answer) == std::stoi(item.status) : statusOf(answer) == 502 && !isForwarded;
+            if (!isAsExpected)
+                printf("%s, %s: %s\n", item.status, target, answer.substr(0, answer.find("\r\n")).c_str());
+            failed += isAsExpected ? 0 : 1;
+        }
+        scripted_endpoint endpoint({ { "HTTP/1.1 " + std::string(item.status) + rest, answer_end::Close } });
+        Http::client client;
+        Http::outgoing_request request;
+        request.url = "http://" + endpoint.address() + "/x";
+        request.mayRepeat = false;
+        Http::transfer_answer answer;
+        client.start(std::move(request), [&answer](Http::transfer_answer&& received) { answer = std::move(received); });
+        while (client.active() > 0)
+            client.poll(milliseconds(50));
+        const bool isReported = answer.end == Http::transfer_end::Complete;
+        if (isReported != item.isStatus)
+            printf("client, %s: %s, status %d\n", item.status, isReported ? "complete" : "cut", answer.status);
+        failed += isReported == item.isStatus ? 0 : 1;
+    }
+    CHECK_EQUAL(0, failed);
+}
