--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -31,13 +31,19 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+handed_out = set()
+
+
 def free_port(ip="127.0.0.1"):
-    """A port below the ephemeral range that nothing listens at."""
+    """A port below the ephemeral range that nothing listens at and that wasn't given out before."""
     while True:
         port = random.randint(12000, 31000)
+        if port in handed_out:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((ip, port))
+                handed_out.add(port)
                 return port
             except OSError:
                 continue
