--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -10,7 +10,7 @@
 import os
 import pathlib
 import random
-import resource
+import re
 import shutil
 import signal
 import socket
@@ -18,7 +18,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -262,7 +261,7 @@
 
     numbers = itertools.count(1)
 
-    def __init__(self, store, service, zone, slots=4, queue=4, work_s=0.1, version="v1", leaves=None):
+    def __init__(self, store, service, zone, slots=4, queue=4, work_s=0.1, version="v1"):
         self.store, self.service, self.zone, self.version = store, service, zone, version
         self.slots, self.queue, self.work_s = slots, queue, work_s
         self.id = f"i-{next(self.numbers):04x}{random.randrange(1 << 24):06x}"
@@ -374,14 +373,14 @@
 
 
 class Node:
-    """A real node. It is started anew when its process ends, as the platform does."""
+    """A real node: its settings file and its process, which a case starts and ends."""
 
-    def __init__(self, folder, name, ip, ports, zone, zones, store, cloud, seeds, settings=None):
+    def __init__(self, folder, name, ip, ports, zone, zones, store, cloud, settings=None):
         self.folder, self.name, self.ip, self.ports, self.zone, self.zones = folder, name, ip, ports, zone, zones
-        self.store, self.cloud, self.seeds, self.settings = store, cloud, seeds, settings or {}
+        self.store, self.cloud, self.settings = store, cloud, settings or {}
         self.path = pathlib.Path(folder) / f"{name}.conf"
         self.log = open(pathlib.Path(folder) / f"{name}.log", "ab")
-        self.process, self.starts, self.own_ends, self.is_wanted = None, 0, 0, False
+        self.process = None
         self.front = f"{ip}:{ports['front']}"
 
     def write_settings(self, first):
@@ -412,20 +411,16 @@
 
     def start(self, first=False):
         self.write_settings(first)
-        with open(ROOT / "deploy" / "system.toml", "rb") as file:
-            command = tomllib.load(file)["roles"]["node"]["run"].split(" ")
+        command = re.search(r'^run = "(.*)"$', (ROOT / "deploy" / "system.toml").read_text(), re.MULTILINE).group(1).split(" ")
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["FILBERTREEL_NODE_FILE"] = str(self.path)
         self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log)
-        self.starts += 1
-        self.is_wanted = True
 
     def signal(self, number):
         if self.process and self.process.poll() is None:
             self.process.send_signal(number)
 
     def kill(self):
-        self.is_wanted = False
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         if self.process:
@@ -457,13 +452,12 @@
         self.nodes, self.engines = [], []
 
     async def open(self, nodes_per_zone=2, settings=None):
-        resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
         self.store = await Store().listen()
         self.cloud = await Cloud().listen()
         places = [zone for zone in self.zones for _ in range(nodes_per_zone)]
         ports = [{name: free_port() for name in ("front", "ready", "directory", "peer", "metrics")} for _ in places]
         for number, zone in enumerate(places):
-            self.nodes.append(Node(self.folder, f"front-{zone}-{number}", "127.0.0.1", ports[number], zone, self.zones, self.store, self.cloud, "", settings))
+            self.nodes.append(Node(self.folder, f"front-{zone}-{number}", "127.0.0.1", ports[number], zone, self.zones, self.store, self.cloud, settings))
 
     def start_nodes(self):
         for node in self.nodes:
