--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -24,6 +24,10 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HEARTBEAT_S = 1.2
 CASE_LIMIT_S = 110
+DRAIN_S = 3.0
+# A run draws its ports from a range of its own, so that cases that run at once hardly meet.
+PORTS_OF_A_RUN = 300
+FIRST_PORT = 12000 + PORTS_OF_A_RUN * (os.getpid() % 60)
 
 
 def with_trouble():
@@ -36,7 +40,7 @@
 def free_port(ip="127.0.0.1"):
     """A port below the ephemeral range that nothing listens at and that wasn't given out before."""
     while True:
-        port = random.randint(12000, 31000)
+        port = FIRST_PORT + random.randrange(PORTS_OF_A_RUN)
         if port in handed_out:
             continue
         with socket.socket() as probe:
@@ -270,7 +274,6 @@
         self.running, self.waiting = 0, 0
         self.arrivals, self.runs = [], []
         self.gate = asyncio.Semaphore(slots)
-        self.more_headers = []
         self.connections = set()
 
     async def start(self, ip="127.0.0.1"):
@@ -283,8 +286,17 @@
                 "state": self.state, "coldRemainingMs": 0, "sequence": self.sequence, "born": self.born}
 
     def write(self):
+        """The stored entry changes only when more than `sequence` does."""
         self.sequence += 1
-        self.store.put("servers", self.id, self.entry())
+        known = self.store.get("servers", self.id)
+        if known is None or {**known, "sequence": 0} != {**self.entry(), "sequence": 0}:
+            self.store.put("servers", self.id, self.entry())
+
+    def drain(self):
+        """Reports that it leaves, goes on serving for drainMs and a little longer, and ends."""
+        self.state = "draining"
+        self.write()
+        asyncio.get_running_loop().call_later(DRAIN_S + 1, self.stop)
 
     async def _beat(self):
         while True:
@@ -303,7 +315,8 @@
         return ("X-Filbertreel-Engine-Load", f"{self.running},{self.waiting},{self.slots}")
 
     def identity(self, headers):
-        return [("X-Filbertreel-Attempt-Id", header(headers, "x-filbertreel-attempt-id")), self.load()] + self.more_headers
+        leaving = [("Server-Leaving", "1"), ("Connection", "close")] if self.state == "draining" else []
+        return [("X-Filbertreel-Attempt-Id", header(headers, "x-filbertreel-attempt-id")), self.load()] + leaving
 
     async def reject(self, writer, headers, status):
         writer.write(response(status, self.identity(headers) + [("X-Filbertreel-Not-Executed", "1")], b"{}"))
@@ -314,12 +327,14 @@
         self.connections.add(writer)
         try:
             if target == "/healthz":
-                writer.write(response(200, [("X-Filbertreel-Instance-Id", self.id), self.load()]))
+                writer.write(response(200 if self.state == "ready" else 503, [("X-Filbertreel-Instance-Id", self.id), self.load()]))
                 await writer.drain()
                 return True
             expected = header(headers, "x-filbertreel-expect-instance")
             if expected and expected != self.id:
                 return await self.reject(writer, headers, 421)
+            if not header(headers, "x-filbertreel-attempt-id"):
+                return await self.reject(writer, headers, 400)
             self.arrivals.append((time.monotonic(), header(headers, "x-filbertreel-attempt-id")))
             if self.running + self.waiting >= self.slots + self.queue:
                 return await self.reject(writer, headers, 503)
@@ -343,7 +358,7 @@
         seal = ("X-Filbertreel-Server-Seal", f"{self.id}.{run['id']}")
         writer.write(response(200, self.identity(headers) + [seal, ("Content-Type", "text/plain")], b"x" * 800))
         await writer.drain()
-        return True
+        return self.state == "ready"
 
 
 class StreamEngine(Engine):
