An empty or unreadable list of accounts no longer admits everybody

Cause: authorize() took an empty vector of accounts for a manifest without `tenants`, and the decoder kept no trace of whether the list was there. The same held for `tenants` that is null, a string, an object, or a list with no readable entry. The keys of an account were read from a string as from a list of one.

Change: the catalog says whether keys are required; only a manifest without the member clears it, and a catalog made without a decoder requires keys.

Ruled out: the store's copy and the relays. The row reaches the nodes whole, and a list with an account that has lost its keys was handled as it should be.

--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -105,6 +105,9 @@
     uint64_t version { 0 };
     std::vector<route> routes;
     std::map<Common::service_name, service> services;
+    /// Whether routes that aren't public require the key of an account. Only an operator who defines no list of accounts at all
+    /// admits everybody: an empty list means that no key is valid.
+    bool requiresKeys { true };
     std::vector<account> accounts;
     input_limits limits;
     /// Look-up tables filled by indexCatalog(): indexes into routes and accounts.
--- a/Source/Core/Catalog/Check.cpp
+++ b/Source/Core/Catalog/Check.cpp
@@ -132,6 +132,8 @@
     void checkAccounts(const catalog& item, finding_list& found)
     {
         std::map<std::string, Common::account_id> owners;
+        if (item.requiresKeys && item.accounts.empty())
+            found.push_back({ finding_kind::NeverMatches, "accounts", "no account is defined, so that no key is valid" });
         for (const account& entry : item.accounts) {
             if (entry.keys.empty())
                 found.push_back({ finding_kind::NeverMatches, entry.id.value, "the account has no key" });
@@ -319,6 +321,8 @@
     compareMaps("route", routesByName(inForce), routesByName(next), differences);
     compareMaps("service", servicesByName(inForce), servicesByName(next), differences);
     compareMaps("account", accountsByName(inForce), accountsByName(next), differences);
+    if (inForce.requiresKeys != next.requiresKeys)
+        differences.push_back({ change_kind::Changed, "accounts", fmt::format("requires_keys: {} -> {}", inForce.requiresKeys, next.requiresKeys) });
     std::string limits;
     compareValue("header_bytes", inForce.limits.headerBytes, next.limits.headerBytes, limits);
     compareValue("body_bytes", inForce.limits.bodyBytes, next.limits.bodyBytes, limits);
--- a/Source/Core/Gateway/Admission.cpp
+++ b/Source/Core/Gateway/Admission.cpp
@@ -27,7 +27,7 @@
     bool authorize(proxied_call& call)
     {
         call.urgency = call.route->priority;
-        if (call.catalog->accounts.empty() || call.route->isPublic)
+        if (!call.catalog->requiresKeys || call.route->isPublic)
             return true;
         const Catalog::account* account = Catalog::findAccount(*call.catalog, call.facts.key);
         if (!account)
--- a/Source/Core/Gateway/GatewayState.cpp
+++ b/Source/Core/Gateway/GatewayState.cpp
@@ -55,7 +55,7 @@
     Quota::setAllowances(state.quota, *state.catalog, now);
     limitColdEndpoints(state, now);
     Common::setMetric("filbertreel_catalog_version", static_cast<double>(state.catalog->version));
-    Common::logEvent(Common::log_level::Info, "catalog_in_force", { { "version", state.catalog->version }, { "routes", state.catalog->routes.size() }, { "accounts", state.catalog->accounts.size() } });
+    Common::logEvent(Common::log_level::Info, "catalog_in_force", { { "version", state.catalog->version }, { "routes", state.catalog->routes.size() }, { "accounts", state.catalog->accounts.size() }, { "requires_keys", state.catalog->requiresKeys } });
 }
 
 void applyMessage(gateway_state& state, const endpoints_update& message, Common::instant now)
