The only version that is left serves, and its rollout isn't taken back

Cause: three decisions took for granted that another version is left. The gateway never sent a request that wasn't selected for the new version there; the evaluation compared the new version with a failure rate that it assumed, and took it back for want of proof; the holder reported an end that had been proposed while other endpoints were there. A process can't tell a lost end from a rollout that begins, but it can see that nothing is left to compare with and to go back to.

Change: the evaluation is told which versions have endpoints that take requests. While the version of a rollout is alone it isn't judged and isn't taken back; after 0.93 of the time, and 8 s without another version, it takes over. An end is proposed and reported only if the version that it leaves has endpoints. The gateway restricts versions only while another one is ready; a request that has been tried at all endpoints of the other version still doesn't go to the one on trial. Proposals are logged with their cause (rollout_end_proposed).

RolloutTracker, AnEndIsReportedOnlyIfItsVersionIsThereToServe: thirteen orders of events of the pure decision, which had no such input before.

Ruled out: the era logic (a node that lives through the restore reports its end again) and the read before the write of a status (the row of the copy says in_progress).

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -120,6 +120,7 @@
             return;
         orders.planState.evacuated = zones;
         outlets.sendToGateway(Gateway::evacuations_update { std::move(zones) });
+        updateReadyVersions();
     }
 
     void operatorRowsChanged()
@@ -164,7 +165,18 @@
         const auto changes = Fleet::applyListing(context.endpoints, listing, Common::bootClockNow());
         for (const Fleet::endpoint_change& change : changes)
             publishEndpointChange(change, "store");
+        publishEndpoints();
+    }
+
+    void publishEndpoints()
+    {
         outlets.sendToGateway(Gateway::endpoints_update { context.endpoints.endpoints });
+        updateReadyVersions();
+    }
+
+    void updateReadyVersions()
+    {
+        perform(rollouts, evaluate(rollouts.tracker, listReadyVersions(context.endpoints.endpoints, orders.planState.evacuated), Common::bootClockNow()));
     }
 
     void dropMissingEndpoints(Common::instant now)
@@ -173,7 +185,7 @@
         for (const Fleet::endpoint_change& change : changes)
             publishEndpointChange(change, "not_returned");
         if (!changes.empty())
-            outlets.sendToGateway(Gateway::endpoints_update { context.endpoints.endpoints });
+            publishEndpoints();
     }
 
     void publishEndpointChange(const Fleet::endpoint_change& change, const char* source)
@@ -439,7 +451,7 @@
         if (!change)
             return;
         publishEndpointChange(*change, message.source);
-        outlets.sendToGateway(Gateway::endpoints_update { context.endpoints.endpoints });
+        publishEndpoints();
     }
 
     void handle(catalog_version_announced&& message)
--- a/Source/Core/Control/RolloutRunner.cpp
+++ b/Source/Core/Control/RolloutRunner.cpp
@@ -42,7 +42,11 @@
         runner.outlets.broadcastLatch(action);
     }
 
-    void perform(rollout_runner& runner, const Rollout::propose_end& action) { recordProposal(runner.tracker, action); }
+    void perform(rollout_runner& runner, const Rollout::propose_end& action)
+    {
+        if (recordProposal(runner.tracker, action))
+            Common::logEvent(Common::log_level::Info, "rollout_end_proposed", { { "service", action.version.service }, { "version", action.version.name.value }, { "is_taken_over", action.version.state == Configuration::version_state::Current }, { "cause", action.cause } });
+    }
 
     void endReport(rollout_runner& runner, const tracked_rollout& report, bool isWritten)
     {
--- a/Source/Core/Control/RolloutTracker.cpp
+++ b/Source/Core/Control/RolloutTracker.cpp
@@ -1,6 +1,7 @@
 #include "Control/RolloutTracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Control {
 
@@ -60,6 +61,17 @@
         return rollout.reported && *rollout.reported != rollout_status::InProgress;
     }
 
+    /// @return the status to report. A proposal that was made while other endpoints were there may no longer be carried out.
+    rollout_status wantedStatus(const rollout_tracker& tracker, const tracked_rollout& rollout)
+    {
+        if (isEnded(rollout))
+            return *rollout.reported;
+        if (!rollout.proposed)
+            return rollout_status::InProgress;
+        const auto end = *rollout.proposed == rollout_status::Completed ? Configuration::version_state::Current : Configuration::version_state::RolledBack;
+        return Rollout::mayEnd(tracker.evaluation, { rollout.order.service.value, rollout.order.to }, end) ? *rollout.proposed : rollout_status::InProgress;
+    }
+
     bool wasReplaced(const rollout_tracker& tracker, const seen_order& seen)
     {
         const auto found = tracker.replaced.find(seen.order.service);
@@ -160,12 +172,13 @@
     return Rollout::stepRollout(tracker.evaluation, std::move(message), toEvaluationTime(now));
 }
 
-void recordProposal(rollout_tracker& tracker, const Rollout::propose_end& end)
+bool recordProposal(rollout_tracker& tracker, const Rollout::propose_end& end)
 {
     const auto known = tracker.rollouts.find({ end.version.service });
     if (known == tracker.rollouts.end() || known->second.order.to != end.version.name)
-        return;
-    known->second.proposed = end.version.state == Configuration::version_state::Current ? rollout_status::Completed : rollout_status::Reverted;
+        return false;
+    const rollout_status proposed = end.version.state == Configuration::version_state::Current ? rollout_status::Completed : rollout_status::Reverted;
+    return std::exchange(known->second.proposed, proposed) != proposed;
 }
 
 std::optional<tracked_rollout> nextReport(rollout_tracker& tracker)
@@ -173,7 +186,7 @@
     for (auto& [service, rollout] : tracker.rollouts) {
         if (rollout.isReporting)
             continue;
-        const rollout_status wanted = isEnded(rollout) ? *rollout.reported : rollout.proposed.value_or(rollout_status::InProgress);
+        const rollout_status wanted = wantedStatus(tracker, rollout);
         if (rollout.reported == wanted && !rollout.mustReportAgain)
             continue;
         rollout.isReporting = true;
@@ -196,6 +209,16 @@
     return applyReportedStatus(tracker, report.order.service, *report.proposed, now);
 }
 
+Rollout::ready_versions_changed listReadyVersions(const Fleet::endpoint_map& endpoints, const std::set<Common::zone_name>& evacuated)
+{
+    Rollout::ready_versions_changed listed;
+    for (const auto& [id, endpoint] : endpoints) {
+        if (endpoint.phase == Fleet::endpoint_phase::Ready && !evacuated.contains(endpoint.zone))
+            listed.ready[endpoint.service.value].insert(endpoint.version);
+    }
+    return listed;
+}
+
 Rollout::attempt_observed toObservedAttempt(const Gateway::attempt_report& attempt)
 {
     Rollout::attempt_observed observed { attempt.service.value, attempt.version, { attempt.route.value }, Rollout::attempt_event::Begun, { attempt.attempt.value }, attempt.expectedMs, attempt.elapsedMs };
--- a/Source/Core/Control/RolloutTracker.h
+++ b/Source/Core/Control/RolloutTracker.h
@@ -58,7 +58,13 @@
 /// Passes a message to the evaluation.
 rollout_actions evaluate(rollout_tracker& tracker, Rollout::rollout_message&& message, Common::instant now);
 /// Stores the result of the evaluation, to be reported.
-void recordProposal(rollout_tracker& tracker, const Rollout::propose_end& end);
+/// @return whether it differs from the one before.
+bool recordProposal(rollout_tracker& tracker, const Rollout::propose_end& end);
+
+/// @param endpoints all endpoints that this node knows.
+/// @param evacuated availability zones whose endpoints get no requests.
+/// @return the versions with an endpoint that takes requests, for the evaluation.
+Rollout::ready_versions_changed listReadyVersions(const Fleet::endpoint_map& endpoints, const std::set<Common::zone_name>& evacuated);
 
 /// @param tracker the rollouts.
 /// @return the next rollout whose `proposed` status the lease holder has to write to the store, if any. It counts as
--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -615,6 +615,69 @@
     }
 }
 
+// Guards against rollouts that are judged, or taken back, when nothing is left to compare with and to go back to.
+TEST(RolloutTracker, AnEndIsReportedOnlyIfItsVersionIsThereToServe)
+{
+    constexpr int64_t playMs = 20000;
+    constexpr int64_t never = playMs + 1;
+    struct listing {
+        int64_t at; ///< Milliseconds since the order.
+        std::set<Common::version_name> ready;
+    };
+    struct row {
+        const char* condition;
+        std::vector<listing> listings;
+        int64_t failsFrom; ///< When the new version begins to fail.
+        int64_t latchedAt; ///< When a peer finds it bad.
+        std::optional<rollout_status> end;
+    };
+    const Common::version_name oldVersion { "v1" };
+    const Common::version_name newVersion { "v2" };
+    const std::vector<listing> both { { 0, { oldVersion, newVersion } } };
+    const std::vector<listing> oldGoes { { 0, { oldVersion, newVersion } }, { 6000, { newVersion } } };
+    const std::vector<listing> oldIsAway { { 0, { oldVersion, newVersion } }, { 6000, { newVersion } }, { 13000, { oldVersion, newVersion } } };
+    const std::vector<listing> oldIsAwayAtTheLimit { { 0, { oldVersion, newVersion } }, { 10500, { newVersion } }, { 13000, { oldVersion, newVersion } } };
+    const row rows[] = {
+        { "both, a good one", both, never, never, rollout_status::Completed },
+        { "both, a bad one", both, 0, never, rollout_status::Reverted },
+        { "the new one alone", { { 0, { newVersion } } }, never, never, rollout_status::Completed },
+        { "the new one alone, failing", { { 0, { newVersion } } }, 0, never, rollout_status::Completed },
+        { "the old one alone", { { 0, { oldVersion } } }, never, never, rollout_status::Reverted },
+        { "none", { { 0, {} } }, never, never, {} },
+        { "the old one goes", oldGoes, never, never, rollout_status::Completed },
+        { "fails once the old one is gone", oldGoes, 6000, never, rollout_status::Completed },
+        { "found bad by a peer once the old one is gone", oldGoes, never, 7000, {} },
+        { "found bad by a peer, and the old one comes back", oldIsAway, never, 7000, rollout_status::Reverted },
+        { "the old one is away at the time limit", oldIsAwayAtTheLimit, never, 12000, rollout_status::Reverted },
+        { "a good one whose endpoints go", { { 0, { oldVersion, newVersion } }, { 10000, { oldVersion } } }, never, never, {} },
+        { "a bad one beside a third version", { { 0, { newVersion, { "v0" } } } }, 0, never, rollout_status::Reverted },
+    };
+    for (const row& item : rows) {
+        simulated_rollout simulation;
+        simulation.order();
+        std::optional<rollout_status> reported;
+        size_t nextListing = 0;
+        for (int64_t now = 0; now < playMs && !reported; now += 20) {
+            if (nextListing < item.listings.size() && item.listings[nextListing].at <= now)
+                simulation.apply(evaluate(simulation.tracker, Rollout::ready_versions_changed { { { "s", item.listings[nextListing++].ready } } }, at(now)));
+            if (now == item.latchedAt)
+                simulation.apply(evaluate(simulation.tracker, Rollout::peer_latch { { "s", newVersion }, "failing" }, at(now)));
+            const std::set<Common::version_name>& ready = item.listings[nextListing - 1].ready;
+            if (now % 200 == 0)
+                simulation.apply(evaluate(simulation.tracker, Rollout::rollout_tick {}, at(now)));
+            const bool isToNew = ready.contains(newVersion) && (ready.size() == 1 || now % 1000 < simulation.share);
+            if (!ready.empty())
+                simulation.observe(isToNew ? "v2" : "v1", !isToNew || now < item.failsFrom, now);
+            const auto report = nextReport(simulation.tracker);
+            if (report && *report->proposed != rollout_status::InProgress)
+                reported = report->proposed;
+            else if (report)
+                simulation.apply(recordReported(simulation.tracker, *report, true, at(now)));
+        }
+        CHECK_TEXT(reported == item.end, item.condition);
+    }
+}
+
 TEST(RolloutTracker, NodesOfALargeFleetSendTheirEvidenceLessOften)
 {
     struct row {
--- a/Source/Core/Gateway/Placement.cpp
+++ b/Source/Core/Gateway/Placement.cpp
@@ -23,7 +23,17 @@
         return work;
     }
 
-    /// During a rollout a randomly selected share of the requests goes to the new version, all others to the old ones.
+    /// @return whether an endpoint of another version of the service takes requests.
+    bool hasOtherVersion(const gateway_state& state, const Common::service_name& service, const Common::version_name& version)
+    {
+        Scheduling::placement_limits limits;
+        limits.neverVersion = version;
+        limits.neverZones = state.evacuatedZones;
+        return Scheduling::hasEndpoint(state.scheduler, service, limits);
+    }
+
+    /// During a rollout a randomly selected share of the requests goes to the new version, all others to the old ones. While no
+    /// other version is there, the new one gets all of them, since to refuse them would help nobody.
     void restrictVersions(gateway_state& state, const proxied_call& call, Scheduling::placement_limits& limits)
     {
         constexpr uint32_t thousandths = 1000;
@@ -31,7 +41,10 @@
         if (known == state.versionShares.end())
             return;
         const bool isSelected = Common::uniformBelow(state.scheduler.random, thousandths) < known->second.thousandths;
-        (isSelected ? limits.onlyVersion : limits.neverVersion) = known->second.newVersion;
+        if (isSelected)
+            limits.onlyVersion = known->second.newVersion;
+        else if (hasOtherVersion(state, call.service, known->second.newVersion))
+            limits.neverVersion = known->second.newVersion;
     }
 
     EndpointLimits::endpoint_start startOf(const gateway_state& state, const Common::endpoint_id& id)
--- a/Source/Core/Gateway/Tests/PlacementTest.cpp
+++ b/Source/Core/Gateway/Tests/PlacementTest.cpp
@@ -70,3 +70,70 @@
         CHECK_TEXT(state.interval.demand.engineMs.at(service) > 0, item.condition);
     }
 }
+
+namespace {
+
+struct listed_version {
+    const char* version;
+    Fleet::endpoint_phase phase;
+    const char* zone;
+};
+
+gateway_state makeStateOf(const std::vector<listed_version>& listed)
+{
+    gateway_state state;
+    for (size_t number = 0; number < listed.size(); ++number) {
+        Fleet::endpoint item;
+        item.id = { "e" + std::to_string(number) };
+        item.service = service;
+        item.version = { listed[number].version };
+        item.zone = { listed[number].zone };
+        item.phase = listed[number].phase;
+        item.slots = 8;
+        Scheduling::updateEndpoint(state.scheduler, item, now);
+    }
+    return state;
+}
+
+} // namespace
+
+// Guards against requests that are refused during a rollout although an endpoint of the service is ready.
+TEST(Placement, TheVersionOfARolloutServesBeyondItsShareOnlyWhenNoOtherIsReady)
+{
+    using Fleet::endpoint_phase;
+    struct row {
+        const char* condition;
+        std::vector<listed_version> listed;
+        uint32_t thousandths; ///< Share of v2.
+        const char* expected; ///< Version of the endpoint; empty: refused.
+    };
+    const row rows[] = {
+        { "both are there, no share", { { "v1", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, 0, "v1" },
+        { "both are there, all requests", { { "v1", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, 1000, "v2" },
+        { "the new one alone, no share", { { "v2", endpoint_phase::Ready, "a" } }, 0, "v2" },
+        { "the new one alone, all requests", { { "v2", endpoint_phase::Ready, "a" } }, 1000, "v2" },
+        { "the old one is leaving", { { "v1", endpoint_phase::Leaving, "a" }, { "v2", endpoint_phase::Ready, "a" } }, 0, "v2" },
+        { "the old one is in an evacuated zone", { { "v1", endpoint_phase::Ready, "b" }, { "v2", endpoint_phase::Ready, "a" } }, 0, "v2" },
+        { "a third version", { { "v0", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, 0, "v0" },
+        { "the old one alone, all requests", { { "v1", endpoint_phase::Ready, "a" } }, 1000, "v1" },
+        { "none is ready", { { "v1", endpoint_phase::Leaving, "a" }, { "v2", endpoint_phase::Leaving, "a" } }, 0, "" },
+    };
+    for (const row& item : rows) {
+        gateway_state state = makeStateOf(item.listed);
+        state.evacuatedZones = { { "b" } };
+        applyMessage(state, version_share_update { service, { "v2" }, item.thousandths }, now);
+        const auto placed = choosePlacement(state, makeCall(), now);
+        const std::string version = placed ? state.scheduler.endpoints.at(placed->endpoint).facts.version.value : std::string();
+        STRCMP_EQUAL_TEXT(item.expected, version.c_str(), item.condition);
+    }
+}
+
+// Guards against a version on trial that gets the repeats of requests which every endpoint of the other version has seen.
+TEST(Placement, ARequestThatAllOtherEndpointsHaveSeenIsNotSentToTheVersionOfARollout)
+{
+    gateway_state state = makeStateOf({ { "v1", Fleet::endpoint_phase::Ready, "a" }, { "v2", Fleet::endpoint_phase::Ready, "a" } });
+    applyMessage(state, version_share_update { service, { "v2" }, 0 }, now);
+    proxied_call call = makeCall();
+    call.triedEndpoints = { { "e0" } };
+    CHECK_FALSE(choosePlacement(state, call, now).has_value());
+}
--- a/Source/Core/Rollout/Rollout.cpp
+++ b/Source/Core/Rollout/Rollout.cpp
@@ -26,6 +26,10 @@
     constexpr int64_t maxIntervalMultiple = 5;
     /// Lower bound of a node's limit of unanswered attempts at the new version.
     constexpr uint64_t minUnansweredLimit = 4;
+    /// Share of the planned time, and time without another version, after which the only version that is left takes over.
+    /// Endpoints that crashed come back after some seconds, and their version may be the better one.
+    constexpr double loneEndTimeShare = 0.93;
+    constexpr int64_t minLoneMilliseconds = 8000;
 
     attempt_counts sum(const class_evidence& counts, attempt_counts comparison::*side)
     {
@@ -87,6 +91,31 @@
         return rollout.stage + 1 < state.settings.stages.size() && unanswered >= allowed;
     }
 
+    bool hasReadyEndpoint(const rollout_state& state, const rollout_key& key)
+    {
+        if (!state.ready)
+            return true;
+        const auto versions = state.ready->find(key.service);
+        return versions != state.ready->end() && versions->second.contains(key.version);
+    }
+
+    /// @return whether an endpoint of another version is ready: something to compare with and to go back to.
+    bool hasOtherVersion(const rollout_state& state, const rollout_key& key)
+    {
+        if (!state.ready)
+            return true;
+        const auto versions = state.ready->find(key.service);
+        return versions != state.ready->end() && versions->second.size() > (versions->second.contains(key.version) ? 1 : 0);
+    }
+
+    void updateAlone(const rollout_state& state, const rollout_key& key, active_rollout& rollout, Common::wall_time now)
+    {
+        if (hasOtherVersion(state, key) || !hasReadyEndpoint(state, key))
+            rollout.aloneSince.reset();
+        else if (!rollout.aloneSince)
+            rollout.aloneSince = now;
+    }
+
     void publish(rollout_state& state, const rollout_key& key, uint32_t share, actions& output)
     {
         version_shares& shares = state.published[key.service];
@@ -118,19 +147,23 @@
         output.push_back(broadcast_latch { key, cause });
     }
 
-    void propose(const rollout_settings& settings, active_rollout& rollout, Configuration::version_state end, const std::string& cause, Common::wall_time now, actions& output)
+    void propose(const rollout_state& state, active_rollout& rollout, Configuration::version_state end, const std::string& cause, Common::wall_time now, actions& output)
     {
-        if (now < rollout.nextProposal)
+        const rollout_key key { rollout.version.service, rollout.version.name };
+        if (now < rollout.nextProposal || !mayEnd(state, key, end))
             return;
-        rollout.nextProposal = { now.value + settings.proposalIntervalMs };
+        rollout.nextProposal = { now.value + state.settings.proposalIntervalMs };
         Configuration::endpoint_version version = rollout.version;
         version.state = end;
         version.cause = cause;
         output.push_back(propose_end { std::move(version), cause });
     }
 
+    /// A version that is alone isn't judged: nothing ran at the same time that it could be worse than.
     void evaluateClasses(rollout_state& state, const rollout_key& key, const class_evidence& pooled, actions& output)
     {
+        if (!hasOtherVersion(state, key))
+            return;
         for (const auto& [work, counts] : pooled) {
             const verdict found = evaluate(counts);
             if (found == verdict::NoFault)
@@ -188,15 +221,26 @@
     {
         const bool movesAllFirst = state.settings.endTimeShare > 0;
         if (!movesAllFirst || timeShare(rollout, now) >= state.settings.endTimeShare)
-            propose(state.settings, rollout, Configuration::version_state::Current, "proven: " + describe(pooled), now, output);
+            propose(state, rollout, Configuration::version_state::Current, "proven: " + describe(pooled), now, output);
         if (!movesAllFirst)
             return publish(state, key, chooseShare(state, rollout, pooled, now), output);
         const bool isRamp = timeShare(rollout, now) < state.settings.takeOverTimeShare + state.settings.rampTimeShare;
         publish(state, key, isRamp ? state.settings.rampShare : allTraffic, output);
     }
 
+    /// Takes over for want of any other version. One that was found bad stays undecided: taken back, it would leave nothing to
+    /// serve requests, and others may return.
+    void tickLoneRollout(const rollout_state& state, active_rollout& rollout, Common::wall_time now, actions& output)
+    {
+        const bool isAloneForLong = rollout.aloneSince && now.value - rollout.aloneSince->value >= minLoneMilliseconds;
+        if (isAloneForLong && !rollout.isLatched && timeShare(rollout, now) >= loneEndTimeShare)
+            propose(state, rollout, Configuration::version_state::Current, "no endpoint of another version is left", now, output);
+    }
+
     void tickRollout(rollout_state& state, const rollout_key& key, active_rollout& rollout, Common::wall_time now, actions& output)
     {
+        if (!hasOtherVersion(state, key))
+            return tickLoneRollout(state, rollout, now, output);
         const class_evidence pooled = poolEvidence(rollout);
         if (!rollout.isLatched)
             evaluateClasses(state, key, pooled, output);
@@ -205,7 +249,7 @@
             evaluateLatencies(state, key, rollout, pooled, output);
         }
         if (rollout.isLatched) {
-            propose(state.settings, rollout, Configuration::version_state::RolledBack, rollout.cause, now, output);
+            propose(state, rollout, Configuration::version_state::RolledBack, rollout.cause, now, output);
             return;
         }
         advance(state.settings, rollout, pooled, now);
@@ -213,11 +257,11 @@
         if (isProven(state.settings, rollout, pooled, now) && elapsed >= state.settings.takeOverTimeShare)
             return takeOver(state, key, rollout, pooled, now, output);
         if (elapsed >= takeBackTimeShare)
-            propose(state.settings, rollout, Configuration::version_state::RolledBack, "not proven in time: " + describe(pooled), now, output);
+            propose(state, rollout, Configuration::version_state::RolledBack, "not proven in time: " + describe(pooled), now, output);
         publish(state, key, rollout.isPaused || isOverexposed(state, rollout) ? 0 : chooseShare(state, rollout, pooled, now), output);
     }
 
-    void begin(rollout_state& state, const rollout_key& key, const Configuration::endpoint_version& version, actions& output)
+    void begin(rollout_state& state, const rollout_key& key, const Configuration::endpoint_version& version, Common::wall_time now, actions& output)
     {
         if (state.active.contains(key))
             return;
@@ -228,11 +272,12 @@
             rollout.isLatched = true;
             rollout.cause = known->second;
         }
+        updateAlone(state, key, rollout, now);
         state.active.emplace(key, std::move(rollout));
         publish(state, key, known != state.latched.end() ? 0 : state.settings.stages.front().share, output);
     }
 
-    void handle(rollout_state& state, configuration_changed&& message, Common::wall_time, actions& output)
+    void handle(rollout_state& state, configuration_changed&& message, Common::wall_time now, actions& output)
     {
         std::map<std::string, version_shares> shares;
         std::map<std::string, Common::version_name> current;
@@ -266,7 +311,7 @@
             output.push_back(publish_shares { service, state.current[service], wanted });
         }
         for (const auto& [key, version] : running)
-            begin(state, key, version, output);
+            begin(state, key, version, now, output);
     }
 
     void handle(rollout_state& state, attempt_observed&& message, Common::wall_time now, actions& output)
@@ -310,6 +355,13 @@
         state.nodes = message.nodes;
     }
 
+    void handle(rollout_state& state, ready_versions_changed&& message, Common::wall_time now, actions&)
+    {
+        state.ready = std::move(message.ready);
+        for (auto& [key, rollout] : state.active)
+            updateAlone(state, key, rollout, now);
+    }
+
     int64_t evidenceInterval(const rollout_state& state)
     {
         const auto multiple = static_cast<int64_t>(state.nodes) / nodesPerIntervalMultiple;
@@ -334,6 +386,11 @@
 
 } // namespace
 
+bool mayEnd(const rollout_state& state, const rollout_key& key, Configuration::version_state end)
+{
+    return end == Configuration::version_state::Current ? hasReadyEndpoint(state, key) : hasOtherVersion(state, key);
+}
+
 class_evidence poolEvidence(const active_rollout& rollout)
 {
     class_evidence pooled = rollout.own.counts;
--- a/Source/Core/Rollout/Rollout.h
+++ b/Source/Core/Rollout/Rollout.h
@@ -10,6 +10,8 @@
 #include "Rollout/AttemptCounter.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -45,9 +47,17 @@
     size_t nodes { 1 }; ///< This node included.
 };
 
+/// Versions with at least one endpoint that takes requests, by service.
+using ready_versions = std::map<std::string, std::set<Common::version_name>>;
+
+/// Endpoints have come, left or begun to leave.
+struct ready_versions_changed {
+    ready_versions ready;
+};
+
 struct rollout_tick { };
 
-using rollout_message = std::variant<configuration_changed, attempt_observed, peer_evidence, peer_latch, node_count_changed, rollout_tick>;
+using rollout_message = std::variant<configuration_changed, attempt_observed, peer_evidence, peer_latch, node_count_changed, ready_versions_changed, rollout_tick>;
 
 /// Traffic shares in thousandths, by version. A version that is not listed receives the remaining traffic.
 using version_shares = std::map<Common::version_name, uint32_t>;
@@ -90,6 +100,8 @@
     bool isLatched { false };
     std::string cause; ///< Why it is latched.
     Common::wall_time nextProposal; ///< Earliest time of the next proposal to end the rollout.
+    /// Since when it is the only version of its service that has ready endpoints; not set while it isn't.
+    std::optional<Common::wall_time> aloneSince {};
 };
 
 struct rollout_stage {
@@ -132,6 +144,7 @@
     std::map<std::string, version_shares> published; ///< The shares published last, by service.
     std::map<std::string, Common::version_name> current; ///< The current version, by service.
     size_t nodes { 1 };
+    std::optional<ready_versions> ready; ///< Not set: not observed, so that every version is taken to be there.
     Common::wall_time nextEvidence;
 };
 
@@ -142,6 +155,12 @@
 /// @return the actions for other duties.
 std::vector<rollout_action> stepRollout(rollout_state& state, rollout_message&& message, Common::wall_time now);
 
+/// @param state the rollouts.
+/// @param key a rollout.
+/// @param end `Current` or `RolledBack`.
+/// @return whether the version that serves after this end has ready endpoints. The endpoints of the other one are removed.
+bool mayEnd(const rollout_state& state, const rollout_key& key, Configuration::version_state end);
+
 /// @param rollout an active rollout.
 /// @return the sum of this node's and all peers' evidence, by class.
 class_evidence poolEvidence(const active_rollout& rollout);
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -647,11 +647,11 @@
     return std::chrono::ceil<milliseconds>(*earliest - now);
 }
 
-bool hasEndpoint(const scheduler_state& state, const Common::service_name& service)
+bool hasEndpoint(const scheduler_state& state, const Common::service_name& service, const placement_limits& limits)
 {
-    return std::any_of(state.endpoints.begin(), state.endpoints.end(), [&](const auto& entry) {
-        return entry.second.facts.service == service && isReady(state, entry.second.facts);
-    });
+    placement_request request;
+    request.service = service;
+    return std::any_of(state.endpoints.begin(), state.endpoints.end(), [&](const auto& entry) { return isEligible(state, entry.second, request, limits); });
 }
 
 const char* nameOf(refusal_reason reason)
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -185,8 +185,11 @@
 /// @return how long no endpoint of the service wants requests; zero if one wants them now or if none is ready.
 milliseconds backoffLeft(const scheduler_state& state, const Common::service_name& service, Common::instant now);
 
-/// @return whether any endpoint of the service is ready.
-bool hasEndpoint(const scheduler_state& state, const Common::service_name& service);
+/// @param state the endpoints.
+/// @param service any service.
+/// @param limits constraints on the choice.
+/// @return whether any endpoint of the service is ready that the limits allow.
+bool hasEndpoint(const scheduler_state& state, const Common::service_name& service, const placement_limits& limits = {});
 
 /// @return the name of the reason in logs and metrics.
 const char* nameOf(refusal_reason reason);
