Router: the only version that is listed serves beyond its share

What a caller of the product's own interface sees: while a rollout holds its version at a share, and the endpoints of every other version are gone, requests that the share doesn't select are refused as if the service had no endpoint. A version that was taken back refuses all of them.

After the drawn version the router falls back to versions without a share of their own, and takes for granted that one is listed.

Change: if no endpoint of a version without a share is listed, shares don't restrict the choice. Endpoints that are only ejected or were tried already still count as listed, so that a version on trial gets no repeats.

Test: Router, AVersionServesBeyondItsShareOnlyWhenNoOtherIsListed; red before in "the new one alone" (none, expected v2), green after.

--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -130,6 +130,20 @@
         }
     }
 
+    /// @return whether an endpoint of a version without a share is listed.
+    bool hasVersionWithoutShare(const router_state& state, const routing_request& request, const index_list& serviceIndexes)
+    {
+        return std::any_of(serviceIndexes.begin(), serviceIndexes.end(), [&](uint32_t index) { return !request.versionShares->contains(state.views[index].info->version); });
+    }
+
+    /// Appends the admissible endpoints of all versions.
+    void collectAllVersions(router_state& state, const routing_request& request, const index_list& serviceIndexes, Common::instant now)
+    {
+        routing_request anyVersion = request;
+        anyVersion.versionShares = nullptr;
+        collectAdmissible(state, anyVersion, serviceIndexes, std::nullopt, now);
+    }
+
     /// Fills the scratch list with the admissible endpoints of the request's service, at most maxExaminedEndpoints.
     index_list& listAdmissible(router_state& state, const routing_request& request, Common::instant now)
     {
@@ -146,6 +160,9 @@
         // but never a version with a share of its own, as that may be zero.
         if (list.empty() && drawn)
             collectAdmissible(state, request, found->second, std::nullopt, now);
+        // Shares hold versions back in favour of others. While no other is listed, they would only refuse requests.
+        if (list.empty() && request.versionShares && !hasVersionWithoutShare(state, request, found->second))
+            collectAllVersions(state, request, found->second, now);
         return list;
     }
 
--- a/Source/Core/Routing/Tests/RouterTest.cpp
+++ b/Source/Core/Routing/Tests/RouterTest.cpp
@@ -157,6 +157,44 @@
     }
 }
 
+// Guards against requests that are refused during a rollout although an endpoint of the service is there.
+TEST(Router, AVersionServesBeyondItsShareOnlyWhenNoOtherIsListed)
+{
+    struct row {
+        const char* condition;
+        std::vector<const char*> versions; ///< Of the endpoints, which have the version as their id.
+        const char* current; ///< Empty: none.
+        std::vector<const char*> avoided;
+        const char* expected;
+    };
+    const row rows[] = {
+        { "both are listed", { "v1", "v2" }, "v1", {}, "v1" },
+        { "no current version is known", { "v1", "v2" }, "", {}, "v1" },
+        { "the new one alone", { "v2" }, "v1", {}, "v2" },
+        { "the new one alone, no current version", { "v2" }, "", {}, "v2" },
+        { "the old one was tried", { "v1", "v2" }, "v1", { "v1" }, "none" },
+        { "the only one was tried", { "v2" }, "v1", { "v2" }, "none" },
+    };
+    for (const row& item : rows) {
+        router_state state;
+        std::vector<Endpoints::instance_info> instances;
+        for (const char* version : item.versions)
+            instances.push_back(makeInstance(version, "east", "home", 100, version));
+        setEndpoints(state, instances, testStart);
+        const std::map<Common::version_name, uint32_t> shares { { { "v2" }, 0 } };
+        const Common::version_name current { item.current };
+        const auto work = makeClass();
+        routing_request request;
+        request.work = &work;
+        request.versionShares = &shares;
+        request.currentVersion = &current;
+        for (const char* id : item.avoided)
+            request.avoided.push_back({ id });
+        const auto choice = chooseEndpoint(state, request, testStart);
+        STRCMP_EQUAL_TEXT(item.expected, choice ? state.views[choice->index].info->id.value.c_str() : "none", item.condition);
+    }
+}
+
 TEST(Router, BaselinePoliciesChooseByTheirOwnCriterion)
 {
     struct row {
