Manifest entries whose bounds can't be read are used by nobody

What would have been seen, read and shown by the table: a request of a route or account whose home regions can't be read (null, a string, a list without a region) went to any region; an account with an unreadable or negative rate had no limit, one without a readable name ran without a tenant and without a limit; an empty key was that of callers without one; a route without a readable prefix matched every path of its host.

Change: homes are optional in the catalog, and a list that can't be read allows no region.

The rows of HomeRegions with an empty set now say nowhere; those without homes use the unset value.

--- a/Source/Core/Catalog/Catalog.h
+++ b/Source/Core/Catalog/Catalog.h
@@ -24,7 +24,7 @@
     Stream, ///< Answered by a stream of events; must not run twice unless the route is resumable.
 };
 
-/// Regions in which requests may be served; empty when all may.
+/// Regions in which requests may be served; nowhere when it is empty.
 using home_regions = std::set<Common::region_name>;
 
 /// A service that receives a share of a route's requests.
@@ -47,7 +47,7 @@
     bool isPublic { false }; ///< Callers need no key.
     bool isSticky { false }; ///< Requests carry prompt parts that are best kept on the same endpoint.
     bool isResumable { false }; ///< A broken stream may be continued at another endpoint.
-    home_regions homes {}; ///< Empty: no restriction.
+    std::optional<home_regions> homes {}; ///< Not set: no restriction.
 };
 
 /// Properties of each engine of a service that batches model requests.
@@ -90,7 +90,7 @@
     std::vector<std::string> keys;
     std::optional<uint32_t> priority; ///< Overrides the priority of the route.
     allowance allowed;
-    home_regions homes {}; ///< Empty: no restriction.
+    std::optional<home_regions> homes {}; ///< Not set: no restriction.
 };
 
 /// Limits on the size and duration of a caller's input.
--- a/Source/Core/Catalog/Check.cpp
+++ b/Source/Core/Catalog/Check.cpp
@@ -72,6 +72,8 @@
             const auto [first, isNew] = firstByMatch.try_emplace({ entry.host, entry.prefix }, entry.name);
             if (!isNew)
                 found.push_back({ finding_kind::NeverMatches, entry.name.value, fmt::format("\"{}\" before it has the same host and prefix", first->second.value) });
+            if (entry.homes && entry.homes->empty())
+                found.push_back({ finding_kind::NeverMatches, entry.name.value, "none of its home regions can be read, so that it is served nowhere" });
             checkMatching(entry, found);
             checkShares(item, entry, found);
             checkTimes(entry, found);
@@ -116,13 +118,17 @@
 
     bool haveCommonHome(const route& first, const account& second)
     {
-        if (first.homes.empty() || second.homes.empty())
+        if (!first.homes || !second.homes)
             return true;
-        return std::any_of(first.homes.begin(), first.homes.end(), [&](const Common::region_name& region) { return second.homes.contains(region); });
+        return std::any_of(first.homes->begin(), first.homes->end(), [&](const Common::region_name& region) { return second.homes->contains(region); });
     }
 
     void checkHomes(const catalog& item, const account& owner, finding_list& found)
     {
+        if (owner.homes && owner.homes->empty()) {
+            found.push_back({ finding_kind::NeverMatches, owner.id.value, "none of its home regions can be read, so that it is served nowhere" });
+            return;
+        }
         for (const route& entry : item.routes) {
             if (!entry.isPublic && !haveCommonHome(entry, owner))
                 found.push_back({ finding_kind::Contradiction, owner.id.value, fmt::format("has no home region in common with the route \"{}\"", entry.name.value) });
@@ -162,12 +168,14 @@
             text += fmt::format("{}{}: {} -> {}", text.empty() ? "" : ", ", name, before, after);
     }
 
-    std::string join(const home_regions& regions)
+    std::string join(const std::optional<home_regions>& regions)
     {
+        if (!regions)
+            return "any";
         std::string text;
-        for (const Common::region_name& region : regions)
+        for (const Common::region_name& region : *regions)
             text += (text.empty() ? "" : "+") + region.value;
-        return text.empty() ? "any" : text;
+        return text.empty() ? "none" : text;
     }
 
     std::string join(const std::vector<service_share>& shares)
--- a/Source/Core/Catalog/Tests/CheckTest.cpp
+++ b/Source/Core/Catalog/Tests/CheckTest.cpp
@@ -67,8 +67,10 @@
         { "another account's key", [](catalog& item) { item.accounts.push_back(item.accounts[0]); item.accounts[1].id = { "b" }; }, "b", finding_kind::NeverMatches },
         { "a burst without a rate", [](catalog& item) { item.accounts[0].allowed.burst = 5; }, "a", finding_kind::NeverMatches },
         { "an allowance below one request", [](catalog& item) { item.accounts[0].allowed = { 50, 50, true, 200 }; }, "a", finding_kind::Contradiction },
-        { "no home in common", [](catalog& item) { item.routes[0].homes = { { "e" } }; item.accounts[0].homes = { { "w" } }; }, "a", finding_kind::Contradiction },
-        { "a home in common", [](catalog& item) { item.routes[0].homes = { { "e" }, { "w" } }; item.accounts[0].homes = { { "w" } }; }, "", finding_kind::Error },
+        { "a route without any home", [](catalog& item) { item.routes[0].homes.emplace(); }, "r", finding_kind::NeverMatches },
+        { "an account without any home", [](catalog& item) { item.accounts[0].homes.emplace(); }, "a", finding_kind::NeverMatches },
+        { "no home in common", [](catalog& item) { item.routes[0].homes = home_regions { { "e" } }; item.accounts[0].homes = home_regions { { "w" } }; }, "a", finding_kind::Contradiction },
+        { "a home in common", [](catalog& item) { item.routes[0].homes = home_regions { { "e" }, { "w" } }; item.accounts[0].homes = home_regions { { "w" } }; }, "", finding_kind::Error },
         { "idle for less than a head may take", [](catalog& item) { item.limits.idleTimeout = milliseconds(1000); }, "limits", finding_kind::Contradiction },
     };
     for (const row& item : rows) {
@@ -97,7 +99,8 @@
         { "a route less", [](catalog& item) { item.routes.clear(); }, "route r", "" },
         { "another timeout", [](catalog& item) { item.routes[0].timeout = milliseconds(900); }, "route r", "timeout_ms: 2000 -> 900" },
         { "no keys required", [](catalog& item) { item.requiresKeys = false; }, "accounts", "requires_keys: true -> false" },
-        { "homes", [](catalog& item) { item.routes[0].homes = { { "e" }, { "w" } }; }, "route r", "homes: any -> e+w" },
+        { "homes", [](catalog& item) { item.routes[0].homes = home_regions { { "e" }, { "w" } }; }, "route r", "homes: any -> e+w" },
+        { "no home at all", [](catalog& item) { item.accounts[0].homes.emplace(); }, "account a", "homes: any -> none" },
         { "another key", [](catalog& item) { item.accounts[0].keys = { "secret-2" }; }, "account a", "keys: 1 added, 1 removed" },
         { "another limit", [](catalog& item) { item.limits.bodyBytes = 9; }, "limits", "body_bytes: 4194304 -> 9" },
     };
--- a/Source/Core/Gateway/HomeRegions.cpp
+++ b/Source/Core/Gateway/HomeRegions.cpp
@@ -9,16 +9,12 @@
 
 allowed_regions combineHomes(const Catalog::route& route, const Catalog::account* account)
 {
-    const bool hasRouteHomes = !route.homes.empty();
-    const bool hasAccountHomes = account && !account->homes.empty();
-    if (!hasRouteHomes && !hasAccountHomes)
-        return {};
-    if (!hasAccountHomes)
+    if (!account || !account->homes)
         return route.homes;
-    if (!hasRouteHomes)
+    if (!route.homes)
         return account->homes;
     std::set<Common::region_name> common;
-    std::set_intersection(route.homes.begin(), route.homes.end(), account->homes.begin(), account->homes.end(), std::inserter(common, common.end()));
+    std::set_intersection(route.homes->begin(), route.homes->end(), account->homes->begin(), account->homes->end(), std::inserter(common, common.end()));
     return common;
 }
 
--- a/Source/Core/Gateway/Tests/HomeRegionsTest.cpp
+++ b/Source/Core/Gateway/Tests/HomeRegionsTest.cpp
@@ -11,9 +11,12 @@
 
 using namespace Gateway;
 
+using homes = std::optional<Catalog::home_regions>;
+using regions = Catalog::home_regions;
+
 const Common::instant now = Common::instant(std::chrono::hours(1));
 
-Catalog::catalog_pointer makeCatalog(uint64_t version, const Catalog::home_regions& routeHomes, const Catalog::home_regions& accountHomes)
+Catalog::catalog_pointer makeCatalog(uint64_t version, const homes& routeHomes, const homes& accountHomes)
 {
     auto made = std::make_shared<Catalog::catalog>();
     made->version = version;
@@ -77,18 +80,21 @@
 {
     struct row {
         const char* condition;
-        Catalog::home_regions route;
-        Catalog::home_regions account;
+        homes route;
+        homes account;
         std::set<std::string> endpoints; ///< At which the request may be placed, however often it is tried.
         std::set<std::string> relays;
     };
     const row rows[] = {
         { "no homes", {}, {}, { "e0", "e1", "e2" }, { "n0", "n1", "n2" } },
-        { "the route's, not the node's region", { { "r1" } }, {}, { "e1" }, { "n1" } },
-        { "the account's", {}, { { "r0" }, { "r2" } }, { "e0", "e2" }, { "n0", "n2" } },
-        { "both", { { "r0" }, { "r1" } }, { { "r1" }, { "r2" } }, { "e1" }, { "n1" } },
-        { "none in common", { { "r0" } }, { { "r1" } }, {}, {} },
-        { "a region without endpoints", { { "r9" } }, {}, {}, {} },
+        { "the route's, not the node's region", regions { { "r1" } }, {}, { "e1" }, { "n1" } },
+        { "the account's", {}, regions { { "r0" }, { "r2" } }, { "e0", "e2" }, { "n0", "n2" } },
+        { "both", regions { { "r0" }, { "r1" } }, regions { { "r1" }, { "r2" } }, { "e1" }, { "n1" } },
+        { "none in common", regions { { "r0" } }, regions { { "r1" } }, {}, {} },
+        { "a region without endpoints", regions { { "r9" } }, {}, {}, {} },
+        { "an empty list of the route", regions {}, {}, {}, {} },
+        { "an empty list of the account", {}, regions {}, {}, {} },
+        { "an empty list beside the other's homes", regions { { "r0" } }, regions {}, {}, {} },
     };
     for (const row& item : rows) {
         gateway_state state = makeState(makeCatalog(1, item.route, item.account));
@@ -112,19 +118,20 @@
 {
     struct row {
         const char* condition;
-        Catalog::home_regions homes;
+        homes allowed;
         const char* reason;
     };
     const row rows[] = {
-        { "endpoints elsewhere", { { "r9" } }, "no_endpoint_in_home_region" },
-        { "the home's endpoint was tried", { { "r1" } }, "no_endpoint_in_home_region" },
+        { "endpoints elsewhere", regions { { "r9" } }, "no_endpoint_in_home_region" },
+        { "no home at all", regions {}, "no_endpoint_in_home_region" },
+        { "the home's endpoint was tried", regions { { "r1" } }, "no_endpoint_in_home_region" },
         { "no endpoint left anywhere", {}, "no_endpoint" },
     };
     for (const row& item : rows) {
-        gateway_state state = makeState(makeCatalog(1, item.homes, {}));
+        gateway_state state = makeState(makeCatalog(1, item.allowed, {}));
         proxied_call call = makeCall(state);
         call.triedEndpoints = { { "e1" } };
-        if (item.homes.empty())
+        if (!item.allowed)
             call.triedEndpoints = { { "e0" }, { "e1" }, { "e2" } };
         const auto placed = choosePlacement(state, call, now);
         CHECK_FALSE_TEXT(placed.has_value(), item.condition);
@@ -137,9 +144,9 @@
 
 TEST(HomeRegions, ARetryGoesByTheCatalogInForce)
 {
-    gateway_state state = makeState(makeCatalog(1, { { "r0" } }, {}));
+    gateway_state state = makeState(makeCatalog(1, regions { { "r0" } }, {}));
     proxied_call call = makeCall(state);
     STRCMP_EQUAL("e0", choosePlacement(state, call, now)->endpoint.value.c_str());
-    applyMessage(state, catalog_update { makeCatalog(2, { { "r2" } }, {}) }, now);
+    applyMessage(state, catalog_update { makeCatalog(2, regions { { "r2" } }, {}) }, now);
     STRCMP_EQUAL("e2", choosePlacement(state, call, now)->endpoint.value.c_str());
 }
--- a/Source/Filbertreel/CheckConfiguration.cpp
+++ b/Source/Filbertreel/CheckConfiguration.cpp
@@ -75,7 +75,10 @@
         }
         for (const PlatformAdapter::field_problem& item : PlatformAdapter::findFieldProblems(text))
             addFinding(made, "error", item.field, lineOfEntry(text, item.entry), item.problem);
-        const auto parsed = PlatformAdapter::parseCatalog(text);
+        std::vector<PlatformAdapter::decode_error> leftOut;
+        const auto parsed = PlatformAdapter::parseCatalog(text, leftOut);
+        for (const PlatformAdapter::decode_error& item : leftOut)
+            addFinding(made, "error", item.rowKey, lineOfEntry(text, item.rowKey), "left out: " + item.problem);
         if (parsed)
             return *parsed;
         addFinding(made, "error", parsed.error().rowKey, 1, parsed.error().problem);
--- a/Tests/Platform/CheckConfigurationTest.cpp
+++ b/Tests/Platform/CheckConfigurationTest.cpp
@@ -65,6 +65,8 @@
         { "a null field", replace(soundText, "900", "null"), "", exitRefused, "line 2: error: timeoutMs: is not a number" },
         { "no account at all", replace(soundText, "[{\"name\":\"t\",\"apiKeys\":[\"secret\"]}]", "[]"), "", exitRefused, "never_matches: accounts: no account is defined" },
         { "accounts that are no list", replace(soundText, "[{\"name\":\"t\",\"apiKeys\":[\"secret\"]}]", "null"), "", exitRefused, "error: tenants: is not a list" },
+        { "a negative rate", replace(soundText, "\"name\":\"t\"", "\"name\":\"t\",\"perS\":-1"), "", exitRefused, "line 4: error: tenants: left out: t: perS is not a rate" },
+        { "a route without a prefix", replace(soundText, ",\"prefix\":\"/p/\"", ""), "", exitRefused, "line 2: error: routes: left out: r: prefix is missing" },
         { "an entry that can't match", replace(soundText, "h.example", "h:80"), "", exitRefused, "line 2: never_matches: r: no request has the host" },
         { "the same version as in force", soundText, soundText, exitRefused, "7 isn't newer than 7" },
         { "a newer one", replace(soundText, "900", "800"), replace(soundText, "\"version\":7", "\"version\":6"), exitOk, "changed: route r: timeout_ms: 900 -> 800" },
