A read of the store without a list of rows fails, instead of emptying the copy

A full read then emptied the copy of the table (all endpoints gone, an evacuation taken back), and an answer to the changes feed raised the copy's version past changes that it never held.

Change: the answer says that it lacks rows, and a watch treats it as a failed call. Transactions have no rows and are read as before.

--- a/Source/Core/Store/Rows.h
+++ b/Source/Core/Store/Rows.h
@@ -65,6 +65,7 @@
     call_outcome outcome { call_outcome::Unknown };
     store_era era; ///< In which the store answered.
     std::vector<row> rows;
+    bool lacksRows { false }; ///< It has no list of rows that could be read, which isn't the same as an empty one.
     bool hasMore { false }; ///< The range has further rows after these.
     row_version newest; ///< The store's newest version at the answer.
     store_time now; ///< When the store answered.
--- a/Source/Core/Store/TableWatch.cpp
+++ b/Source/Core/Store/TableWatch.cpp
@@ -146,7 +146,8 @@
     const pending_query query = std::exchange(watch.pending, pending_query::None);
     const bool isAnswered = answer.outcome == call_outcome::Done || answer.outcome == call_outcome::HistoryLost;
     const bool isLostAtOnce = answer.outcome == call_outcome::HistoryLost && query == pending_query::FirstPage;
-    if (!isAnswered || isLostAtOnce || isOutdated(answer, watch.era))
+    const bool saysNothing = answer.outcome == call_outcome::Done && answer.lacksRows;
+    if (!isAnswered || isLostAtOnce || saysNothing || isOutdated(answer, watch.era))
         return handleFailure(watch, now);
     if (answer.outcome == call_outcome::HistoryLost || query == pending_query::Outdated)
         return beginFullReadNow(watch, now);
