An order back, or to a third version, holds back the version that it leaves

Cause: the tracker kept one order for a service. An order back made the version before a new one to be let in by hundredths, and the gateway sent the rest to whatever wasn't that version, which was the one just left.

Change: the tracker keeps which versions served before unfinished orders (established), and which ones orders have left before they were proven (abandoned). An order to an established version needs no proof: it gets all requests at once and is completed near its time limit, since requests of the other version may still run. A version that this node saw taking over when its order was replaced counts as established, as its status may just not have been read. The gateway gets the shares of all versions: a version with the share zero gets a request only if no other can take it. The end of a write is no longer applied to the order that replaced the written one.

Not covered: a node that starts after the second order doesn't know what the first one was (nothing of it is in the store).

--- a/Source/Core/Control/RolloutRunner.cpp
+++ b/Source/Core/Control/RolloutRunner.cpp
@@ -14,14 +14,13 @@
 
     void perform(rollout_runner& runner, const Rollout::publish_shares& action)
     {
-        for (const auto& [version, share] : action.shares) {
+        Gateway::version_share_update update { { action.service }, action.shares };
+        // The version of a rollout that is complete, or that the operator has ordered back to, receives all requests.
+        if (!action.current.value.empty())
+            update.thousandths[action.current] = allRequests;
+        for (const auto& [version, share] : update.thousandths)
             Common::logEvent(Common::log_level::Info, "version_share", { { "service", action.service }, { "version", version.value }, { "thousandths", share } });
-            runner.outlets.sendToGateway(Gateway::version_share_update { { action.service }, version, share });
-        }
-        // No shares: the rollout is complete, and the new version receives all requests.
-        const auto ended = runner.tracker.rollouts.find({ action.service });
-        if (action.shares.empty() && ended != runner.tracker.rollouts.end())
-            runner.outlets.sendToGateway(Gateway::version_share_update { { action.service }, ended->second.order.to, allRequests });
+        runner.outlets.sendToGateway(std::move(update));
     }
 
     nlohmann::json latencyFields(const Rollout::latency_counts& counts)
--- a/Source/Core/Control/RolloutTracker.cpp
+++ b/Source/Core/Control/RolloutTracker.cpp
@@ -31,6 +31,8 @@
 
     Configuration::version_state stateOf(const tracked_rollout& rollout)
     {
+        if (rollout.isReturn)
+            return Configuration::version_state::Current;
         if (!rollout.reported || *rollout.reported == rollout_status::InProgress)
             return Configuration::version_state::TakingOver;
         return *rollout.reported == rollout_status::Completed ? Configuration::version_state::Current : Configuration::version_state::RolledBack;
@@ -48,6 +50,15 @@
             version.deadline = toEvaluationTime(rollout.seenAt + rollout.order.time);
             config->versions[Configuration::versionKey(version.service, version.name)] = version;
         }
+        for (const auto& [service, versions] : tracker.abandoned) {
+            for (const Common::version_name& name : versions) {
+                Configuration::endpoint_version version;
+                version.service = service.value;
+                version.name = name;
+                version.state = Configuration::version_state::RolledBack;
+                config->versions[Configuration::versionKey(version.service, version.name)] = version;
+            }
+        }
         return Rollout::stepRollout(tracker.evaluation, Rollout::configuration_changed { std::move(config) }, toEvaluationTime(now));
     }
 
@@ -97,18 +108,85 @@
         return true;
     }
 
+    /// @return the versions with ready endpoints beside the one of the order.
+    std::set<Common::version_name> otherReadyVersions(const rollout_tracker& tracker, const rollout_order& order)
+    {
+        const auto& ready = tracker.evaluation.ready;
+        if (!ready || !ready->contains(order.service.value))
+            return {};
+        std::set<Common::version_name> versions = ready->at(order.service.value);
+        versions.erase(order.to);
+        return versions;
+    }
+
+    /// @return whether this node has found the version good: it is taking over, even if the end isn't known to be reported.
+    bool isTakingOver(const rollout_tracker& tracker, const tracked_rollout& rollout)
+    {
+        const auto shares = tracker.evaluation.published.find(rollout.order.service.value);
+        if (shares == tracker.evaluation.published.end())
+            return false;
+        const auto share = shares->second.find(rollout.order.to);
+        return share != shares->second.end() && share->second >= tracker.evaluation.settings.rampShare;
+    }
+
+    /// @return whether the rollout has ended with its version in place, as far as this node can tell: it may have missed the status.
+    bool mayBeCompleted(const rollout_tracker& tracker, const tracked_rollout& rollout, Common::instant now)
+    {
+        if (isEnded(rollout))
+            return rollout.reported == rollout_status::Completed;
+        return isTakingOver(tracker, rollout) && now - rollout.seenAt >= rollout.order.time * endTimeShare;
+    }
+
+    /// Derives what an order means from the one that it replaces.
+    void linkToReplaced(rollout_tracker& tracker, const tracked_rollout& replaced, tracked_rollout& rollout)
+    {
+        rollout.established = replaced.established;
+        if (replaced.order.to == rollout.order.to)
+            return;
+        if (mayBeCompleted(tracker, replaced, rollout.seenAt)) {
+            rollout.established = { replaced.order.to };
+            return;
+        }
+        rollout.isReturn = replaced.established.contains(rollout.order.to);
+        if (!rollout.isReturn && isTakingOver(tracker, replaced))
+            rollout.established = { replaced.order.to };
+        else if (!replaced.isReturn)
+            tracker.abandoned[rollout.order.service].insert(replaced.order.to);
+    }
+
     void startRollout(rollout_tracker& tracker, const seen_order& seen, Common::instant now)
     {
-        const auto known = tracker.rollouts.find(seen.order.service);
-        if (known != tracker.rollouts.end())
-            tracker.replaced[seen.order.service].push_back({ known->second.order, known->second.orderVersion });
         tracked_rollout rollout;
         rollout.order = seen.order;
         rollout.orderVersion = seen.version;
         rollout.seenAt = now;
+        const auto known = tracker.rollouts.find(seen.order.service);
+        if (known != tracker.rollouts.end()) {
+            tracker.replaced[seen.order.service].push_back({ known->second.order, known->second.orderVersion });
+            linkToReplaced(tracker, known->second, rollout);
+        } else {
+            rollout.established = otherReadyVersions(tracker, seen.order);
+        }
+        tracker.abandoned[seen.order.service].erase(seen.order.to);
         tracker.rollouts[seen.order.service] = std::move(rollout);
     }
 
+    /// A node that has just started may read orders before it knows any endpoint.
+    void learnEstablished(rollout_tracker& tracker)
+    {
+        for (auto& [service, rollout] : tracker.rollouts)
+            rollout.established = otherReadyVersions(tracker, rollout.order);
+    }
+
+    /// A return takes its whole time, as requests of the version that is left may still be running: its endpoints stop at the end.
+    void endReturns(rollout_tracker& tracker, Common::instant now)
+    {
+        for (auto& [service, rollout] : tracker.rollouts) {
+            if (rollout.isReturn && !isEnded(rollout) && now - rollout.seenAt >= rollout.order.time * endTimeShare)
+                rollout.proposed = rollout_status::Completed;
+        }
+    }
+
     Store::row_version versionOf(const std::map<std::string, Store::row>& rows, const rollout_order& order)
     {
         for (const auto& [key, row] : rows) {
@@ -169,7 +247,12 @@
 
 rollout_actions evaluate(rollout_tracker& tracker, Rollout::rollout_message&& message, Common::instant now)
 {
-    return Rollout::stepRollout(tracker.evaluation, std::move(message), toEvaluationTime(now));
+    const bool isFirstListing = !tracker.evaluation.ready && std::holds_alternative<Rollout::ready_versions_changed>(message);
+    rollout_actions actions = Rollout::stepRollout(tracker.evaluation, std::move(message), toEvaluationTime(now));
+    if (isFirstListing)
+        learnEstablished(tracker);
+    endReturns(tracker, now);
+    return actions;
 }
 
 bool recordProposal(rollout_tracker& tracker, const Rollout::propose_end& end)
@@ -200,7 +283,8 @@
 rollout_actions recordReported(rollout_tracker& tracker, const tracked_rollout& report, bool isWritten, Common::instant now)
 {
     const auto known = tracker.rollouts.find(report.order.service);
-    if (known == tracker.rollouts.end())
+    // The order may have been replaced during the write.
+    if (known == tracker.rollouts.end() || known->second.seenAt != report.seenAt)
         return {};
     known->second.isReporting = false;
     if (!isWritten)
--- a/Source/Core/Control/RolloutTracker.h
+++ b/Source/Core/Control/RolloutTracker.h
@@ -24,6 +24,9 @@
     bool isReporting { false }; ///< A write of the status is in progress.
     bool isOfEarlierEra { false }; ///< The order's row hasn't been seen in the current era of the store.
     bool mustReportAgain { false }; ///< The store may have lost the status.
+    /// Versions that served the service before the order, or before the unfinished ones that it replaced.
+    std::set<Common::version_name> established {};
+    bool isReturn { false }; ///< The order leads back to an established version, which needs no proof.
 };
 
 /// An order as it was seen in the store.
@@ -36,6 +39,9 @@
     std::map<Common::service_name, tracked_rollout> rollouts;
     /// Orders that later ones have replaced. A restored store may show them again.
     std::map<Common::service_name, std::vector<seen_order>> replaced;
+    /// Versions that were being tried, or were taken back, when an order to another one came. They get no requests that another
+    /// version can take, until an order names them.
+    std::map<Common::service_name, std::set<Common::version_name>> abandoned;
     Rollout::rollout_state evaluation;
 };
 
--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -678,6 +678,88 @@
     }
 }
 
+namespace {
+
+struct order_event {
+    int64_t at; ///< Milliseconds since the first order.
+    const char* to;
+    std::optional<rollout_status> status {}; ///< The status that the node reads for the order before, right before this one.
+};
+
+} // namespace
+
+// Guards against an order that sends the traffic to a version which an earlier order was trying, or which was taken back (EXPOSURE).
+TEST(RolloutTracker, AnOrderHoldsBackTheVersionsThatEarlierOnesLeft)
+{
+    using shares = std::map<Common::version_name, uint32_t>;
+    struct row {
+        const char* condition;
+        std::vector<order_event> orders;
+        std::set<Common::version_name> heldBack; ///< After the last order.
+        const char* current; ///< Version that gets all others; empty: there is a trial.
+        bool endsCompleted; ///< Whether the last order is reported as completed at its time limit without any attempt.
+    };
+    const row rows[] = {
+        { "a first order", { { 0, "v2" } }, {}, "", false },
+        { "back in the trial", { { 0, "v2" }, { 2500, "v1" } }, { { "v2" } }, "v1", true },
+        { "back after it was taken back", { { 0, "v2" }, { 2500, "v1", rollout_status::Reverted } }, { { "v2" } }, "v1", true },
+        { "a third one in the trial", { { 0, "v2" }, { 2500, "v3" } }, { { "v2" } }, "", false },
+        { "a third one after it was taken back", { { 0, "v2" }, { 2500, "v3", rollout_status::Reverted } }, { { "v2" } }, "", false },
+        { "a third one, then back", { { 0, "v2" }, { 2500, "v3" }, { 4000, "v1" } }, { { "v2" }, { "v3" } }, "v1", true },
+        { "back, then to a third one", { { 0, "v2" }, { 2500, "v1" }, { 4000, "v3" } }, { { "v2" } }, "", false },
+        { "back, then the bad one once more", { { 0, "v2" }, { 2500, "v1" }, { 4000, "v2" } }, {}, "", false },
+        { "the same order once more", { { 0, "v2" }, { 2500, "v2" } }, {}, "", false },
+        { "the next one after completed", { { 0, "v2" }, { 13000, "v3", rollout_status::Completed } }, {}, "", false },
+        { "the version before as a new one after completed", { { 0, "v2" }, { 13000, "v1", rollout_status::Completed } }, {}, "", false },
+    };
+    for (const row& item : rows) {
+        rollout_tracker tracker = makeRolloutTracker(0.1, 50);
+        std::optional<Rollout::publish_shares> published;
+        const auto apply = [&published](const rollout_actions& actions) {
+            for (const Rollout::rollout_action& action : actions) {
+                if (const auto* update = std::get_if<Rollout::publish_shares>(&action))
+                    published = *update;
+            }
+        };
+        uint64_t version = 5;
+        std::set<Common::version_name> ready { { "v1" } };
+        for (const order_event& order : item.orders) {
+            if (order.status)
+                apply(applyReportedStatus(tracker, { "s" }, *order.status, at(order.at)));
+            apply(showOrder(tracker, order.to, ++version, order.at));
+            // The first listing comes after the first order, as at a node that has just started. A version's endpoints start when it is
+            // ordered.
+            ready.insert({ order.to });
+            apply(evaluate(tracker, Rollout::ready_versions_changed { { { "s", ready } } }, at(order.at + 50)));
+        }
+        std::set<Common::version_name> heldBack;
+        for (const auto& [name, share] : published ? published->shares : shares {}) {
+            if (share == 0)
+                heldBack.insert(name);
+        }
+        CHECK_TEXT(heldBack == item.heldBack, item.condition);
+        STRCMP_EQUAL_TEXT(item.current, published ? published->current.value.c_str() : "", item.condition);
+        const int64_t end = item.orders.back().at + orderMs;
+        apply(evaluate(tracker, Rollout::rollout_tick {}, at(end)));
+        const auto report = nextReport(tracker);
+        CHECK_EQUAL_TEXT(item.endsCompleted, report && report->proposed == rollout_status::Completed, item.condition);
+    }
+}
+
+// Guards against the end of one order that is taken for the end of the order which replaced it during the write.
+TEST(RolloutTracker, AWriteThatEndsAfterItsOrderWasReplacedDoesNotEndTheNewOne)
+{
+    rollout_tracker tracker = makeRolloutTracker(0.1, 50);
+    showOrder(tracker, "v2", 5, 0);
+    tracker.rollouts.begin()->second.proposed = rollout_status::Reverted;
+    const auto report = nextReport(tracker);
+    CHECK(report.has_value());
+    showOrder(tracker, "v3", 6, 100);
+    recordReported(tracker, *report, true, at(110));
+    CHECK(tracker.rollouts.begin()->second.reported != rollout_status::Reverted);
+    CHECK(isActive(tracker));
+}
+
 TEST(RolloutTracker, NodesOfALargeFleetSendTheirEvidenceLessOften)
 {
     struct row {
--- a/Source/Core/Gateway/Messages.h
+++ b/Source/Core/Gateway/Messages.h
@@ -48,11 +48,11 @@
     Quota::node_report report;
 };
 
-/// The share of a service's requests that goes to the version being rolled out.
+/// Shares of a service's requests that go to versions, in thousandths. The remaining requests go to versions that aren't named; a
+/// version with the share zero is held back.
 struct version_share_update {
     Common::service_name service;
-    Common::version_name newVersion; ///< The version being rolled out.
-    uint32_t thousandths { 0 }; ///< Its share of the requests.
+    std::map<Common::version_name, uint32_t> thousandths;
 };
 
 /// Another node's statement about a fingerprint.
--- a/Source/Core/Gateway/Placement.cpp
+++ b/Source/Core/Gateway/Placement.cpp
@@ -23,28 +23,50 @@
         return work;
     }
 
-    /// @return whether an endpoint of another version of the service takes requests.
-    bool hasOtherVersion(const gateway_state& state, const Common::service_name& service, const Common::version_name& version)
+    /// @return whether an endpoint of the service takes requests that isn't of these versions.
+    bool hasOtherVersion(const gateway_state& state, const Common::service_name& service, const std::set<Common::version_name>& versions)
     {
         Scheduling::placement_limits limits;
-        limits.neverVersion = version;
+        limits.neverVersions = versions;
         limits.neverZones = state.evacuatedZones;
         return Scheduling::hasEndpoint(state.scheduler, service, limits);
     }
 
-    /// During a rollout a randomly selected share of the requests goes to the new version, all others to the old ones. While no
-    /// other version is there, the new one gets all of them, since to refuse them would help nobody.
+    /// @param unusable a version that can't serve the request; may be empty.
+    /// @return the versions that a request which isn't selected for one of them must not use: all that have a share. If no other
+    /// is ready, those that are held back; if there is none else either, none, since to refuse the request would help nobody.
+    std::set<Common::version_name> findExcludedVersions(const gateway_state& state, const version_share_update& shares, const std::optional<Common::version_name>& unusable)
+    {
+        std::set<Common::version_name> withShare;
+        std::set<Common::version_name> heldBack;
+        if (unusable)
+            heldBack.insert(*unusable);
+        for (const auto& [version, thousandths] : shares.thousandths) {
+            withShare.insert(version);
+            if (thousandths == 0)
+                heldBack.insert(version);
+        }
+        if (hasOtherVersion(state, shares.service, withShare))
+            return withShare;
+        return hasOtherVersion(state, shares.service, heldBack) ? heldBack : std::set<Common::version_name> {};
+    }
+
+    /// During a rollout a randomly selected share of the requests goes to the new version, all others to the old ones.
     void restrictVersions(gateway_state& state, const proxied_call& call, Scheduling::placement_limits& limits)
     {
-        constexpr uint32_t thousandths = 1000;
+        constexpr uint32_t allRequests = 1000;
         const auto known = state.versionShares.find(call.service);
         if (known == state.versionShares.end())
             return;
-        const bool isSelected = Common::uniformBelow(state.scheduler.random, thousandths) < known->second.thousandths;
-        if (isSelected)
-            limits.onlyVersion = known->second.newVersion;
-        else if (hasOtherVersion(state, call.service, known->second.newVersion))
-            limits.neverVersion = known->second.newVersion;
+        uint32_t point = Common::uniformBelow(state.scheduler.random, allRequests);
+        for (const auto& [version, thousandths] : known->second.thousandths) {
+            if (point < thousandths) {
+                limits.onlyVersion = version;
+                return;
+            }
+            point -= thousandths;
+        }
+        limits.neverVersions = findExcludedVersions(state, known->second, {});
     }
 
     EndpointLimits::endpoint_start startOf(const gateway_state& state, const Common::endpoint_id& id)
@@ -122,7 +144,7 @@
     auto placed = Scheduling::place(state.scheduler, workOf(call), limits, now);
     if (!placed && limits.onlyVersion) {
         // No endpoint of the new version can serve the request, so it falls back to the others instead of being rejected.
-        limits.neverVersion = limits.onlyVersion;
+        limits.neverVersions = findExcludedVersions(state, state.versionShares.at(call.service), limits.onlyVersion);
         limits.onlyVersion.reset();
         placed = Scheduling::place(state.scheduler, workOf(call), limits, now);
     }
--- a/Source/Core/Gateway/Tests/PlacementTest.cpp
+++ b/Source/Core/Gateway/Tests/PlacementTest.cpp
@@ -104,24 +104,30 @@
     struct row {
         const char* condition;
         std::vector<listed_version> listed;
-        uint32_t thousandths; ///< Share of v2.
+        std::map<Common::version_name, uint32_t> shares;
         const char* expected; ///< Version of the endpoint; empty: refused.
     };
     const row rows[] = {
-        { "both are there, no share", { { "v1", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, 0, "v1" },
-        { "both are there, all requests", { { "v1", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, 1000, "v2" },
-        { "the new one alone, no share", { { "v2", endpoint_phase::Ready, "a" } }, 0, "v2" },
-        { "the new one alone, all requests", { { "v2", endpoint_phase::Ready, "a" } }, 1000, "v2" },
-        { "the old one is leaving", { { "v1", endpoint_phase::Leaving, "a" }, { "v2", endpoint_phase::Ready, "a" } }, 0, "v2" },
-        { "the old one is in an evacuated zone", { { "v1", endpoint_phase::Ready, "b" }, { "v2", endpoint_phase::Ready, "a" } }, 0, "v2" },
-        { "a third version", { { "v0", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, 0, "v0" },
-        { "the old one alone, all requests", { { "v1", endpoint_phase::Ready, "a" } }, 1000, "v1" },
-        { "none is ready", { { "v1", endpoint_phase::Leaving, "a" }, { "v2", endpoint_phase::Leaving, "a" } }, 0, "" },
+        { "both are there, no share", { { "v1", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, { { { "v2" }, 0 } }, "v1" },
+        { "both are there, all requests", { { "v1", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, { { { "v2" }, 1000 } }, "v2" },
+        { "the new one alone, no share", { { "v2", endpoint_phase::Ready, "a" } }, { { { "v2" }, 0 } }, "v2" },
+        { "the new one alone, all requests", { { "v2", endpoint_phase::Ready, "a" } }, { { { "v2" }, 1000 } }, "v2" },
+        { "the old one is leaving", { { "v1", endpoint_phase::Leaving, "a" }, { "v2", endpoint_phase::Ready, "a" } }, { { { "v2" }, 0 } }, "v2" },
+        { "the old one is in an evacuated zone", { { "v1", endpoint_phase::Ready, "b" }, { "v2", endpoint_phase::Ready, "a" } }, { { { "v2" }, 0 } }, "v2" },
+        { "a third version", { { "v0", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, { { { "v2" }, 0 } }, "v0" },
+        { "the old one alone, all requests", { { "v1", endpoint_phase::Ready, "a" } }, { { { "v2" }, 1000 } }, "v1" },
+        { "none is ready", { { "v1", endpoint_phase::Leaving, "a" }, { "v2", endpoint_phase::Leaving, "a" } }, { { { "v2" }, 0 } }, "" },
+        { "one is tried, one is held back", { { "v1", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" }, { "v3", endpoint_phase::Ready, "a" } }, { { { "v2" }, 0 }, { { "v3" }, 1 } }, "v1" },
+        { "one is tried, one is held back, no other", { { "v2", endpoint_phase::Ready, "a" }, { "v3", endpoint_phase::Ready, "a" } }, { { { "v2" }, 0 }, { { "v3" }, 1 } }, "v3" },
+        { "only the one held back", { { "v2", endpoint_phase::Ready, "a" } }, { { { "v2" }, 0 }, { { "v3" }, 1 } }, "v2" },
+        { "all go back, one is held back", { { "v1", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, { { { "v1" }, 1000 }, { { "v2" }, 0 } }, "v1" },
+        { "all go back, only the one held back is left", { { "v2", endpoint_phase::Ready, "a" } }, { { { "v1" }, 1000 }, { { "v2" }, 0 } }, "v2" },
+        { "all go back, another one is left", { { "v0", endpoint_phase::Ready, "a" }, { "v2", endpoint_phase::Ready, "a" } }, { { { "v1" }, 1000 }, { { "v2" }, 0 } }, "v0" },
     };
     for (const row& item : rows) {
         gateway_state state = makeStateOf(item.listed);
         state.evacuatedZones = { { "b" } };
-        applyMessage(state, version_share_update { service, { "v2" }, item.thousandths }, now);
+        applyMessage(state, version_share_update { service, item.shares }, now);
         const auto placed = choosePlacement(state, makeCall(), now);
         const std::string version = placed ? state.scheduler.endpoints.at(placed->endpoint).facts.version.value : std::string();
         STRCMP_EQUAL_TEXT(item.expected, version.c_str(), item.condition);
@@ -132,7 +138,7 @@
 TEST(Placement, ARequestThatAllOtherEndpointsHaveSeenIsNotSentToTheVersionOfARollout)
 {
     gateway_state state = makeStateOf({ { "v1", Fleet::endpoint_phase::Ready, "a" }, { "v2", Fleet::endpoint_phase::Ready, "a" } });
-    applyMessage(state, version_share_update { service, { "v2" }, 0 }, now);
+    applyMessage(state, version_share_update { service, { { { "v2" }, 0 } } }, now);
     proxied_call call = makeCall();
     call.triedEndpoints = { { "e0" } };
     CHECK_FALSE(choosePlacement(state, call, now).has_value());
--- a/Source/Core/Scheduling/Scheduler.cpp
+++ b/Source/Core/Scheduling/Scheduler.cpp
@@ -233,7 +233,7 @@
             return false;
         if (limits.onlyVersion && endpoint.facts.version != *limits.onlyVersion)
             return false;
-        if (limits.neverVersion && endpoint.facts.version == *limits.neverVersion)
+        if (limits.neverVersions.contains(endpoint.facts.version))
             return false;
         return !limits.avoided.contains(endpoint.facts.id);
     }
--- a/Source/Core/Scheduling/Scheduler.h
+++ b/Source/Core/Scheduling/Scheduler.h
@@ -116,7 +116,7 @@
 struct placement_limits {
     std::set<Common::endpoint_id> avoided; ///< Endpoints that the request has already been tried at.
     std::optional<Common::version_name> onlyVersion;
-    std::optional<Common::version_name> neverVersion {};
+    std::set<Common::version_name> neverVersions {};
     std::set<Common::endpoint_id> limited {}; ///< Endpoints that take no more requests now.
     std::optional<std::set<Common::region_name>> onlyRegions {}; ///< Where the request may be served; empty: anywhere.
     std::set<Common::zone_name> neverZones {}; ///< Availability zones that get no requests.
--- a/Source/Core/Scheduling/Tests/SchedulerTest.cpp
+++ b/Source/Core/Scheduling/Tests/SchedulerTest.cpp
@@ -156,8 +156,8 @@
     const row rows[] = {
         { { { { "1" } }, {}, {} }, "2" },
         { { {}, Common::version_name { "v2" }, {} }, "2" },
-        { { {}, {}, Common::version_name { "v2" } }, "1" },
-        { { { { "1" } }, {}, Common::version_name { "v2" } }, "" },
+        { { {}, {}, { { "v2" } } }, "1" },
+        { { { { "1" } }, {}, { { "v2" } } }, "" },
     };
     for (const row& item : rows) {
         scheduler_state state = makeState({ makeEndpoint("1", "a"), makeEndpoint("2", "a", "v2") });
