A node that missed the end of a rollout doesn't hold back its version for good

Once the endpoints of v1 are gone, only v3 is not held back, and all requests of this node would go to the version on trial (EXPOSURE).

Change: if no established version is ready, an abandoned one that nothing speaks against (no latch, not reverted) takes its place, at the order and at each listing after it. An order for a version that was completed already has no version to return to. An evacuation that is read before the first listing isn't taken for a listing without endpoints.

Test: two rows of RolloutTracker, AnOrderHoldsBackTheVersionsThatEarlierOnes Left; "the next one after a completed that was missed" was red before.

--- a/Source/Core/Control/ControlDuty.cpp
+++ b/Source/Core/Control/ControlDuty.cpp
@@ -120,7 +120,9 @@
             return;
         orders.planState.evacuated = zones;
         outlets.sendToGateway(Gateway::evacuations_update { std::move(zones) });
-        updateReadyVersions();
+        // Before the first listing nothing is known of any version.
+        if (!context.endpoints.endpoints.empty())
+            updateReadyVersions();
     }
 
     void operatorRowsChanged()
--- a/Source/Core/Control/RolloutTracker.cpp
+++ b/Source/Core/Control/RolloutTracker.cpp
@@ -140,13 +140,17 @@
     /// Derives what an order means from the one that it replaces.
     void linkToReplaced(rollout_tracker& tracker, const tracked_rollout& replaced, tracked_rollout& rollout)
     {
-        rollout.established = replaced.established;
-        if (replaced.order.to == rollout.order.to)
-            return;
+        const bool isSameVersion = replaced.order.to == rollout.order.to;
         if (mayBeCompleted(tracker, replaced, rollout.seenAt)) {
-            rollout.established = { replaced.order.to };
+            if (!isSameVersion)
+                rollout.established = { replaced.order.to };
             return;
         }
+        rollout.established = replaced.established;
+        if (isSameVersion)
+            return;
+        if (replaced.reported == rollout_status::Reverted)
+            tracker.reverted[rollout.order.service].insert(replaced.order.to);
         rollout.isReturn = replaced.established.contains(rollout.order.to);
         if (!rollout.isReturn && isTakingOver(tracker, replaced))
             rollout.established = { replaced.order.to };
@@ -171,6 +175,40 @@
         tracker.rollouts[seen.order.service] = std::move(rollout);
     }
 
+    bool isReady(const rollout_tracker& tracker, const Common::service_name& service, const Common::version_name& version)
+    {
+        const auto& ready = tracker.evaluation.ready;
+        return !ready || (ready->contains(service.value) && ready->at(service.value).contains(version));
+    }
+
+    bool isFoundBad(const rollout_tracker& tracker, const Common::service_name& service, const Common::version_name& version)
+    {
+        const auto reverted = tracker.reverted.find(service);
+        return (reverted != tracker.reverted.end() && reverted->second.contains(version)) || tracker.evaluation.latched.contains({ service.value, version });
+    }
+
+    /// A node that missed the end of a rollout takes its version for abandoned. Once the versions of before are gone, that one has
+    /// taken their place, and a version on trial must not get its requests.
+    /// @return whether a version is established now that was abandoned.
+    bool reviewAbandoned(rollout_tracker& tracker)
+    {
+        bool hasChanged = false;
+        for (auto& [service, rollout] : tracker.rollouts) {
+            const auto isThere = [&tracker, &name = service](const Common::version_name& version) { return isReady(tracker, name, version); };
+            if (rollout.isReturn || std::any_of(rollout.established.begin(), rollout.established.end(), isThere))
+                continue;
+            std::set<Common::version_name>& abandoned = tracker.abandoned[service];
+            for (const Common::version_name& version : std::set(abandoned)) {
+                if (!isThere(version) || isFoundBad(tracker, service, version))
+                    continue;
+                abandoned.erase(version);
+                rollout.established.insert(version);
+                hasChanged = true;
+            }
+        }
+        return hasChanged;
+    }
+
     /// A node that has just started may read orders before it knows any endpoint.
     void learnEstablished(rollout_tracker& tracker)
     {
@@ -233,6 +271,8 @@
         startRollout(tracker, seen, now);
         hasChanged = true;
     }
+    if (hasChanged)
+        reviewAbandoned(tracker);
     return hasChanged ? evaluateVersions(tracker, now) : rollout_actions {};
 }
 
@@ -247,10 +287,15 @@
 
 rollout_actions evaluate(rollout_tracker& tracker, Rollout::rollout_message&& message, Common::instant now)
 {
-    const bool isFirstListing = !tracker.evaluation.ready && std::holds_alternative<Rollout::ready_versions_changed>(message);
+    const bool isListing = std::holds_alternative<Rollout::ready_versions_changed>(message);
+    const bool isFirstListing = isListing && !tracker.evaluation.ready;
     rollout_actions actions = Rollout::stepRollout(tracker.evaluation, std::move(message), toEvaluationTime(now));
     if (isFirstListing)
         learnEstablished(tracker);
+    if (isListing && reviewAbandoned(tracker)) {
+        for (Rollout::rollout_action& action : evaluateVersions(tracker, now))
+            actions.push_back(std::move(action));
+    }
     endReturns(tracker, now);
     return actions;
 }
--- a/Source/Core/Control/RolloutTracker.h
+++ b/Source/Core/Control/RolloutTracker.h
@@ -42,6 +42,7 @@
     /// Versions that were being tried, or were taken back, when an order to another one came. They get no requests that another
     /// version can take, until an order names them.
     std::map<Common::service_name, std::set<Common::version_name>> abandoned;
+    std::map<Common::service_name, std::set<Common::version_name>> reverted; ///< Those of them that were taken back.
     Rollout::rollout_state evaluation;
 };
 
--- a/Source/Core/Control/Tests/ControlTest.cpp
+++ b/Source/Core/Control/Tests/ControlTest.cpp
@@ -684,6 +684,7 @@
     int64_t at; ///< Milliseconds since the first order.
     const char* to;
     std::optional<rollout_status> status {}; ///< The status that the node reads for the order before, right before this one.
+    const char* gone { "" }; ///< A version whose endpoints are gone by then.
 };
 
 } // namespace
@@ -709,6 +710,8 @@
         { "back, then to a third one", { { 0, "v2" }, { 2500, "v1" }, { 4000, "v3" } }, { { "v2" } }, "", false },
         { "back, then the bad one once more", { { 0, "v2" }, { 2500, "v1" }, { 4000, "v2" } }, {}, "", false },
         { "the same order once more", { { 0, "v2" }, { 2500, "v2" } }, {}, "", false },
+        { "the next one after a completed that was missed", { { 0, "v2" }, { 13000, "v3", {}, "v1" } }, {}, "", false },
+        { "the next one after reverted, the first one gone", { { 0, "v2" }, { 13000, "v3", rollout_status::Reverted, "v1" } }, { { "v2" } }, "", false },
         { "the next one after completed", { { 0, "v2" }, { 13000, "v3", rollout_status::Completed } }, {}, "", false },
         { "the version before as a new one after completed", { { 0, "v2" }, { 13000, "v1", rollout_status::Completed } }, {}, "", false },
     };
@@ -730,6 +733,7 @@
             // The first listing comes after the first order, as at a node that has just started. A version's endpoints start when it is
             // ordered.
             ready.insert({ order.to });
+            ready.erase({ order.gone });
             apply(evaluate(tracker, Rollout::ready_versions_changed { { { "s", ready } } }, at(order.at + 50)));
         }
         std::set<Common::version_name> heldBack;
