Tests of rollouts on real nodes share their rows of the store

LoneVersionTest and RolloutOrdersTest had the manifest, the sealed answer, the order and the endpoint's entry twice. They stand in RolloutRows.h now; nothing that is checked changes.

--- a/Tests/Platform/LoneVersionTest.cpp
+++ b/Tests/Platform/LoneVersionTest.cpp
@@ -2,9 +2,8 @@
 /// The real program while a rollout is in progress and endpoints of one version only are left. A process that starts after the
 /// store has lost `completed` sees the same as at the begin of a rollout, except that there is nothing to go back to.
 
+#include "Platform/RolloutRows.h"
 #include "Platform/RunningNode.h"
-#include "Platform/ScriptedEndpoint.h"
-#include "Platform/StoreStandIn.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -20,7 +19,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr const char* orderKey = "rollout/s";
 constexpr int orderSeconds = 10;
 constexpr milliseconds playTime { 16000 };
 constexpr milliseconds requestInterval { 40 };
@@ -56,27 +54,14 @@
     { "the new version is leaving", presence::Ready, presence::Leaving, "in_progress", false, "reverted", 1 },
 };
 
-json makeManifest()
-{
-    return { { "version", 3 },
-        { "routes", { { { "name", "r" }, { "hostname", "h.example" }, { "prefix", "/p/" }, { "routeType", "unsafe" }, { "timeoutMs", 2000 }, { "service", "s" }, { "maxAttempts", 1 } } } },
-        { "services", { { { "name", "s" } } } },
-        { "tenants", { { { "name", "clerks" }, { "apiKeys", { "k1" } } } } } };
-}
-
-scripted_answer makeAnswer(const char* status)
-{
-    return { std::string("HTTP/1.1 ") + status + "\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.1\r\nContent-Length: 5\r\n\r\nhello" };
-}
-
 std::vector<scripted_answer> makeAnswers(presence present)
 {
     constexpr size_t scriptLength = 2000;
     if (present != presence::Failing)
-        return { makeAnswer("200 OK") };
+        return { makeSealedAnswer("200 OK") };
     std::vector<scripted_answer> answers;
     for (size_t number = 0; number < scriptLength; ++number)
-        answers.push_back(makeAnswer(number % 2 == 0 ? "200 OK" : "500 Internal Server Error"));
+        answers.push_back(makeSealedAnswer(number % 2 == 0 ? "200 OK" : "500 Internal Server Error"));
     return answers;
 }
 
@@ -102,7 +87,7 @@
 private:
     void list()
     {
-        m_store.put("servers", "i-" + m_version, { { "service", "s" }, { "address", m_endpoint.address() }, { "zone", "z" }, { "version", m_version }, { "slots", 6 }, { "state", m_present == presence::Leaving ? "draining" : "ready" }, { "born", 1 } });
+        listEndpoint(m_store, m_version, m_endpoint.address(), m_present == presence::Leaving ? "draining" : "ready");
     }
 
     store_stand_in& m_store;
@@ -120,15 +105,10 @@
 
 std::string readState(const store_stand_in& store)
 {
-    const json body = json::parse(store.get("status", orderKey), nullptr, false);
+    const json body = json::parse(store.get("status", rolloutKey), nullptr, false);
     return body.is_object() ? body.value("state", "") : "";
 }
 
-void putOrder(store_stand_in& store)
-{
-    store.put("op", orderKey, { { "service", "s" }, { "to", "v2" }, { "finishByS", orderSeconds } });
-}
-
 /// The store, the endpoints and a node of one shape. They are made one after the other, because a child process inherits the
 /// sockets that other threads are about to bind.
 struct world {
@@ -141,10 +121,10 @@
     explicit world(const shape& played)
         : item(played)
     {
-        store.put("op", "config", makeManifest());
-        putOrder(store);
+        store.put("op", "config", makeRolloutManifest());
+        putRolloutOrder(store, "v2", orderSeconds);
         if (*item.status != '\0')
-            store.put("status", orderKey, { { "service", "s" }, { "state", item.status }, { "to", "v2" } });
+            store.put("status", rolloutKey, { { "service", "s" }, { "state", item.status }, { "to", "v2" } });
         oldVersion = std::make_unique<version_endpoint>(store, "v1", item.oldVersion);
         newVersion = std::make_unique<version_endpoint>(store, "v2", item.newVersion);
         node = std::make_unique<running_node>(node_surroundings { .storeAddress = store.address() });
@@ -156,7 +136,7 @@
     for (milliseconds waited { 0 }; played.node->readiness() != 200 && waited < startLimit; waited += requestInterval)
         std::this_thread::sleep_for(requestInterval);
     if (played.item.isOrderedAgain)
-        putOrder(played.store);
+        putRolloutOrder(played.store, "v2", orderSeconds);
     outcome result;
     const auto begun = std::chrono::steady_clock::now();
     bool hasAppeared = false;
--- a/Tests/Platform/RolloutOrdersTest.cpp
+++ b/Tests/Platform/RolloutOrdersTest.cpp
@@ -1,9 +1,8 @@
 /// @file
 /// The real program while one order to change the version of a service follows another before its time limit.
 
+#include "Platform/RolloutRows.h"
 #include "Platform/RunningNode.h"
-#include "Platform/ScriptedEndpoint.h"
-#include "Platform/StoreStandIn.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -17,10 +16,8 @@
 namespace {
 
 using namespace PlatformTests;
-using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr const char* orderKey = "rollout/s";
 constexpr int orderSeconds = 8;
 constexpr milliseconds requestInterval { 10 };
 constexpr milliseconds nextOrderAfter { 2500 };
@@ -41,32 +38,14 @@
     { "to a third version after it was taken back", true, "v3", "v1" },
 };
 
-json makeManifest()
-{
-    return { { "version", 3 },
-        { "routes", { { { "name", "r" }, { "hostname", "h.example" }, { "prefix", "/p/" }, { "routeType", "unsafe" }, { "timeoutMs", 2000 }, { "service", "s" }, { "maxAttempts", 1 } } } },
-        { "services", { { { "name", "s" } } } },
-        { "tenants", { { { "name", "clerks" }, { "apiKeys", { "k1" } } } } } };
-}
-
-scripted_answer makeAnswer(const char* status)
-{
-    return { std::string("HTTP/1.1 ") + status + "\r\nX-Filbertreel-Attempt-Id: @ID@\r\nX-Filbertreel-Server-Seal: s.1\r\nContent-Length: 5\r\n\r\nhello" };
-}
-
 struct world {
     store_stand_in store {};
     std::map<std::string, std::unique_ptr<scripted_endpoint>> endpoints {};
 
     void list(const std::string& version, const char* status)
     {
-        endpoints[version] = std::make_unique<scripted_endpoint>(std::vector<scripted_answer> { makeAnswer(status) });
-        store.put("servers", "i-" + version, { { "service", "s" }, { "address", endpoints[version]->address() }, { "zone", "z" }, { "version", version }, { "slots", 6 }, { "state", "ready" }, { "born", 1 } });
-    }
-
-    void order(const std::string& version)
-    {
-        store.put("op", orderKey, { { "service", "s" }, { "to", version }, { "finishByS", orderSeconds } });
+        endpoints[version] = std::make_unique<scripted_endpoint>(std::vector<scripted_answer> { makeSealedAnswer(status) });
+        listEndpoint(store, version, endpoints[version]->address());
     }
 
     size_t arrivals(const std::string& version) const { return endpoints.at(version)->requests().size(); }
@@ -84,18 +63,18 @@
 void play(const shape& item)
 {
     world played;
-    played.store.put("op", "config", makeManifest());
+    played.store.put("op", "config", makeRolloutManifest());
     played.list("v1", "200 OK");
     running_node node({ .storeAddress = played.store.address() });
     for (int waited = 0; node.readiness() != 200 && waited < 800; ++waited)
         std::this_thread::sleep_for(requestInterval);
     sendFor(node, milliseconds(500));
-    played.order("v2");
+    putRolloutOrder(played.store, "v2", orderSeconds);
     played.list("v2", item.fails ? "500 Internal Server Error" : "200 OK");
     sendFor(node, nextOrderAfter);
-    const bool wasReverted = played.store.get("status", orderKey).find("reverted") != std::string::npos;
+    const bool wasReverted = played.store.get("status", rolloutKey).find("reverted") != std::string::npos;
     CHECK_EQUAL_TEXT(item.fails, wasReverted, item.name);
-    played.order(item.next);
+    putRolloutOrder(played.store, item.next, orderSeconds);
     if (played.endpoints.count(item.next) == 0)
         played.list(item.next, "200 OK");
     sendFor(node, reactionTime);
